--- /dev/null
+++ b/fault/error.go
@@ -0,0 +1,79 @@
+package fault
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+// Error is a refusal or failure with its verdict.
+type Error struct {
+	Kind       Kind          `json:"kind"`
+	Verdict    Verdict       `json:"verdict"`
+	Field      string        `json:"field,omitempty"`
+	Message    string        `json:"message"`
+	RetryAfter time.Duration `json:"retry_after_ns,omitempty"`
+}
+
+// New returns an error of the given kind and verdict.
+func New(kind Kind, verdict Verdict, format string, args ...any) *Error {
+	return &Error{Kind: kind, Verdict: verdict, Message: fmt.Sprintf(format, args...)}
+}
+
+// BadField returns an [Invalid] error that names a field and says [NotRun].
+func BadField(field, format string, args ...any) *Error {
+	return New(Invalid, NotRun, format, args...).WithField(field)
+}
+
+// Error returns the kind, field, message and verdict as one line.
+func (e *Error) Error() string {
+	if e.Field != "" {
+		return fmt.Sprintf("%s: field %s: %s (%s)", e.Kind, e.Field, e.Message, e.Verdict)
+	}
+	return fmt.Sprintf("%s: %s (%s)", e.Kind, e.Message, e.Verdict)
+}
+
+// WithField returns a copy that names a field of the request.
+func (e Error) WithField(field string) *Error {
+	e.Field = field
+	return &e
+}
+
+// WithVerdict returns a copy with another verdict.
+func (e Error) WithVerdict(verdict Verdict) *Error {
+	e.Verdict = verdict
+	return &e
+}
+
+// WithRetryAfter returns a copy that asks the caller to wait before a retry.
+func (e Error) WithRetryAfter(wait time.Duration) *Error {
+	e.RetryAfter = wait
+	return &e
+}
+
+// From returns err as an *Error. An error of another type becomes [Internal]
+// with the verdict [MayHaveRun]; nil stays nil.
+func From(err error) *Error {
+	if err == nil {
+		return nil
+	}
+	var fe *Error
+	if errors.As(trace.Unwrap(err), &fe) || errors.As(err, &fe) {
+		return fe
+	}
+	if errors.Is(err, context.DeadlineExceeded) {
+		return New(DeadlineExceeded, MayHaveRun, "%s", err)
+	}
+	if errors.Is(err, context.Canceled) {
+		return New(Canceled, MayHaveRun, "%s", err)
+	}
+	return New(Internal, MayHaveRun, "%s", err)
+}
+
+// VerdictOf returns the verdict that err carries, [MayHaveRun] if it carries none.
+func VerdictOf(err error) Verdict {
+	return From(err).Verdict
+}
--- /dev/null
+++ b/note/generate.go
@@ -0,0 +1,3 @@
+package note
+
+//go:generate go tool -modfile=../.ci/tools/go.mod enumer -type=State,StageKind,OrderKind -text -transform=snake -output=names.go
