Admit calls to targets at one owner

Cause: nodes that each hold a share of a cold limit of one or two cannot keep a target within it. Change: packages target (limit and warm-up), queue (classes, deadlines, fair shares) and pool (dispatch or refusal at one owner), as state machines.

--- /dev/null
+++ b/pool/action.go
@@ -0,0 +1,28 @@
+package pool
+
+import "bergamotworks/fault"
+
+// Action is something that a pool asks its node to do.
+type Action interface{ action() }
+
+// Dispatch asks to send a call to a target.
+type Dispatch struct {
+	Attempt string `json:"attempt"`
+	Target  string `json:"target"`
+	Address string `json:"address"`
+}
+
+// Refuse asks to answer a call that was not dispatched and never will be.
+type Refuse struct {
+	Attempt string       `json:"attempt"`
+	Err     *fault.Error `json:"err"`
+}
+
+// Cancel asks to cancel a running call. Its slot stays taken until [Finished].
+type Cancel struct {
+	Attempt string `json:"attempt"`
+}
+
+func (Dispatch) action() {}
+func (Refuse) action()   {}
+func (Cancel) action()   {}
--- /dev/null
+++ b/pool/config_test.go
@@ -0,0 +1,27 @@
+package pool_test
+
+import (
+	"maps"
+
+	"bergamotworks/note"
+)
+
+// withDomain returns a configuration in which a failure domain has another state.
+func withDomain(c note.Config, name string, state note.State) note.Config {
+	s := c.Sections
+	s.Domains = maps.Clone(s.Domains)
+	d := s.Domains[name]
+	d.State = state
+	s.Domains[name] = d
+	return c.WithSections(s).WithRevision(c.Revision+1, "")
+}
+
+// withTarget returns a configuration in which a target has another state.
+func withTarget(c note.Config, name string, state note.State) note.Config {
+	s := c.Sections
+	s.Targets = maps.Clone(s.Targets)
+	t := s.Targets[name]
+	t.State = state
+	s.Targets[name] = t
+	return c.WithSections(s).WithRevision(c.Revision+1, "")
+}
--- /dev/null
+++ b/pool/pool_test.go
@@ -0,0 +1,138 @@
+package pool_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"bergamotworks/note"
+	"bergamotworks/pool"
+	"bergamotworks/script"
+)
+
+// origin is the time zero of the scripts.
+var origin = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// poolScript is a data file: a pool, and steps with the actions they call for.
+type poolScript struct {
+	About  string      `json:"about"`
+	Policy pool.Policy `json:"policy"`
+	Nodes  int         `json:"nodes"`
+	Queue  int         `json:"queue"`
+	Config note.Config `json:"config"`
+	Steps  []step      `json:"steps"`
+}
+
+// step is one event at a time, of which exactly one field is set.
+type step struct {
+	AtMS     int64               `json:"at_ms"`
+	Submit   *submitStep         `json:"submit"`
+	Started  *pool.Started       `json:"started"`
+	Finish   *finishStep         `json:"finish"`
+	Cancel   string              `json:"cancel"`
+	Report   *pool.Reported      `json:"report"`
+	Cache    *pool.CacheReported `json:"cache"`
+	Domain   *domainStep         `json:"domain"`
+	Leaving  string              `json:"leaving"`
+	TakeOver bool                `json:"take_over"`
+	HandOver bool                `json:"hand_over"`
+	Suspend  bool                `json:"suspend"`
+	Resume   bool                `json:"resume"`
+	Drain    bool                `json:"drain"`
+	Want     []string            `json:"want"`
+}
+
+type submitStep struct {
+	pool.Call
+	InMS int64 `json:"in_ms"` // Time left until the deadline.
+}
+
+type finishStep struct {
+	Attempt string           `json:"attempt"`
+	Kind    pool.OutcomeKind `json:"kind"`
+	MS      int64            `json:"ms"`
+	FirstMS int64            `json:"first_ms"`
+}
+
+type domainStep struct {
+	Name  string     `json:"name"`
+	State note.State `json:"state"`
+}
+
+func TestScripts(t *testing.T) {
+	script.Run(t, "testdata/*.json", func(t *testing.T, data poolScript) {
+		spec := pool.Split(data.Config)[0]
+		p := &pool.Pool{Spec: spec, Config: data.Config, Policy: data.Policy, Nodes: data.Nodes, QueueLimit: data.Queue}
+		for i, s := range data.Steps {
+			now := origin.Add(time.Duration(s.AtMS) * time.Millisecond)
+			if s.HandOver {
+				state := p.Handover(now)
+				p = &pool.Pool{Spec: spec, Config: p.Config, QueueLimit: data.Queue}
+				p.Step(now, pool.TakenOver{Planned: true, State: state})
+				continue
+			}
+			got := describe(p.Step(now, s.event(now, p.Config)))
+			if diff := cmp.Diff(s.Want, got); diff != "" {
+				t.Fatalf("step %d at %d ms (-want +got):\n%s", i, s.AtMS, diff)
+			}
+		}
+	})
+}
+
+// event returns the event of the step.
+func (s step) event(now time.Time, config note.Config) pool.Event {
+	switch {
+	case s.Submit != nil:
+		c := s.Submit.Call
+		c.Deadline = now.Add(time.Duration(s.Submit.InMS) * time.Millisecond)
+		return pool.Submitted{Call: c}
+	case s.Started != nil:
+		return *s.Started
+	case s.Finish != nil:
+		return s.Finish.event()
+	case s.Cancel != "":
+		return pool.Cancelled{Attempt: s.Cancel}
+	case s.Report != nil:
+		return *s.Report
+	case s.Cache != nil:
+		return *s.Cache
+	case s.Domain != nil:
+		return pool.Configured{Config: withDomain(config, s.Domain.Name, s.Domain.State)}
+	case s.Leaving != "":
+		return pool.Configured{Config: withTarget(config, s.Leaving, note.Leaving)}
+	case s.TakeOver:
+		return pool.TakenOver{}
+	case s.Suspend:
+		return pool.Suspended{}
+	case s.Resume:
+		return pool.Resumed{}
+	case s.Drain:
+		return pool.Drained{}
+	}
+	return pool.Ticked{}
+}
+
+func (f finishStep) event() pool.Event {
+	return pool.Finished{Attempt: f.Attempt, Outcome: pool.Outcome{
+		Kind:       f.Kind,
+		Latency:    time.Duration(f.MS) * time.Millisecond,
+		FirstToken: time.Duration(f.FirstMS) * time.Millisecond,
+	}}
+}
+
+// describe returns each action as one line.
+func describe(actions []pool.Action) []string {
+	var lines []string
+	for _, a := range actions {
+		switch a := a.(type) {
+		case pool.Dispatch:
+			lines = append(lines, "dispatch "+a.Attempt+" "+a.Target)
+		case pool.Refuse:
+			lines = append(lines, "refuse "+a.Attempt+" "+a.Err.Kind.String()+" "+a.Err.Verdict.String())
+		case pool.Cancel:
+			lines = append(lines, "cancel "+a.Attempt)
+		}
+	}
+	return lines
+}
--- /dev/null
+++ b/pool/summary.go
@@ -0,0 +1,44 @@
+package pool
+
+import "time"
+
+const maxSummaryPrefixes = 16
+
+// Summary is what other nodes learn of a pool.
+type Summary struct {
+	Pool    string `json:"pool"`
+	Service string `json:"service"`
+	Domain  string `json:"domain"`
+	// Spare is the number of calls that would start at once.
+	Spare  int `json:"spare"`
+	Queued int `json:"queued"`
+	// Limit is the number of calls that the targets may run together.
+	Limit        int           `json:"limit"`
+	ExpectedWait time.Duration `json:"expected_wait_ns"`
+	// Cost is the usual time of one call.
+	Cost time.Duration `json:"cost_ns"`
+	// Prefixes are some prompt prefixes that targets of the pool may hold.
+	Prefixes []uint64 `json:"prefixes,omitempty"`
+}
+
+// Summary returns the pool's summary at now.
+func (p *Pool) Summary(now time.Time) Summary {
+	p.prepare(now)
+	s := Summary{
+		Pool:         p.Spec.Name,
+		Service:      p.Spec.Service,
+		Domain:       p.Spec.Domain,
+		Queued:       p.queue.Len() + len(p.apart),
+		ExpectedWait: p.expectedWait(now),
+		Cost:         p.costs.value("", p.Config.Sections.Services[p.Spec.Service].Typical()),
+		Prefixes:     p.prefixes.latest(maxSummaryPrefixes),
+	}
+	if p.suspended || p.drained {
+		return s
+	}
+	s.Limit = int(p.speed(now))
+	for _, m := range p.members {
+		s.Spare += m.free(now)
+	}
+	return s
+}
--- /dev/null
+++ b/queue/account.go
@@ -0,0 +1,61 @@
+package queue
+
+import "container/heap"
+
+// account holds the waiting entries of one client account in one class.
+type account struct {
+	name    string
+	weight  float64
+	virtual float64 // Virtual time up to which the account was served.
+	entries entryHeap
+}
+
+func (a *account) push(e *Entry) { heap.Push(&a.entries, e) }
+
+func (a *account) remove(e *Entry) { heap.Remove(&a.entries, e.index) }
+
+// last returns the entry with the latest deadline that may give way.
+func (a *account) last(mustFinish bool) *Entry {
+	var found *Entry
+	for _, e := range a.entries {
+		if e.MustFinish && !mustFinish {
+			continue
+		}
+		if found == nil || found.before(e) {
+			found = e
+		}
+	}
+	return found
+}
+
+// entryHeap orders entries by deadline.
+type entryHeap []*Entry
+
+// Len returns the number of entries.
+func (h entryHeap) Len() int { return len(h) }
+
+// Less orders two entries.
+func (h entryHeap) Less(i, j int) bool { return h[i].before(h[j]) }
+
+// Swap exchanges two entries.
+func (h entryHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index = i
+	h[j].index = j
+}
+
+// Push appends an entry.
+func (h *entryHeap) Push(x any) {
+	e := x.(*Entry)
+	e.index = len(*h)
+	*h = append(*h, e)
+}
+
+// Pop removes the last entry.
+func (h *entryHeap) Pop() any {
+	old := *h
+	e := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	return e
+}
--- /dev/null
+++ b/queue/queue.go
@@ -0,0 +1,128 @@
+package queue
+
+import (
+	"slices"
+	"time"
+
+	"bergamotworks/note"
+)
+
+const (
+	defaultCapacity = 1024
+	fade            = 1.0 / 64 // Part of the served cost forgotten with each call.
+)
+
+// Queue holds waiting entries. Set the exported fields before use and change
+// them only through [Queue.Configure].
+type Queue struct {
+	// Capacity bounds the number of entries; zero means 1024.
+	Capacity int
+	Classes  map[string]note.Class
+	Accounts map[string]note.ClientAccount
+
+	classes  []*class // Sorted by priority, then by name.
+	entries  map[string]*Entry
+	sequence uint64
+}
+
+// Len returns the number of waiting entries.
+func (q *Queue) Len() int { return len(q.entries) }
+
+// Has reports whether an entry waits.
+func (q *Queue) Has(id string) bool { return q.entries[id] != nil }
+
+// Configure puts other classes and accounts in force.
+func (q *Queue) Configure(classes map[string]note.Class, accounts map[string]note.ClientAccount) {
+	q.Classes = classes
+	q.Accounts = accounts
+	for _, c := range q.classes {
+		c.priority, c.share = q.bounds(c.name)
+	}
+	q.sort()
+}
+
+// Push adds an entry. If the queue is full, it returns the entry that gave way,
+// which may be the new one; otherwise nil.
+func (q *Queue) Push(e *Entry) *Entry {
+	if q.entries == nil {
+		q.entries = make(map[string]*Entry)
+	}
+	q.sequence++
+	e.sequence = q.sequence
+	q.add(e)
+	if len(q.entries) <= q.capacity() {
+		return nil
+	}
+	victim := q.victim(e)
+	q.remove(victim)
+	return victim
+}
+
+// Remove takes an entry out, and reports whether it waited.
+func (q *Queue) Remove(id string) bool {
+	e := q.entries[id]
+	if e == nil {
+		return false
+	}
+	q.remove(e)
+	return true
+}
+
+// Pop takes out the entry that is served next, or returns nil.
+func (q *Queue) Pop() *Entry {
+	c := q.next()
+	if c == nil {
+		return nil
+	}
+	a := c.next()
+	e := a.entries[0]
+	cost := max(e.Cost.Seconds(), minimumCost)
+	c.charge(a, cost)
+	for _, o := range q.classes {
+		o.served *= 1 - fade
+	}
+	q.remove(e)
+	return e
+}
+
+// Expired takes out the entries that can no longer end by their deadline.
+func (q *Queue) Expired(now time.Time) []*Entry {
+	var late []*Entry
+	for _, c := range q.classes {
+		for _, a := range slices.Clone(c.active) {
+			for len(a.entries) > 0 && a.entries[0].late(now) {
+				e := a.entries[0]
+				late = append(late, e)
+				q.remove(e)
+			}
+		}
+	}
+	return late
+}
+
+// Clear takes out every entry, in the order of service.
+func (q *Queue) Clear() []*Entry {
+	var all []*Entry
+	for e := q.Pop(); e != nil; e = q.Pop() {
+		all = append(all, e)
+	}
+	return all
+}
+
+func (q *Queue) capacity() int {
+	if q.Capacity <= 0 {
+		return defaultCapacity
+	}
+	return q.Capacity
+}
+
+func (q *Queue) add(e *Entry) {
+	c := q.class(e.Class)
+	c.push(c.account(e.Account, q.weight(e.Account)), e)
+	q.entries[e.ID] = e
+}
+
+func (q *Queue) remove(e *Entry) {
+	q.class(e.Class).remove(e)
+	delete(q.entries, e.ID)
+}
--- /dev/null
+++ b/target/finish.go
@@ -0,0 +1,140 @@
+package target
+
+import "time"
+
+// Finish counts the end of a call at now. The epoch is the one at its start.
+func (t *Target) Finish(now time.Time, epoch int, outcome Outcome) {
+	t.settle(now)
+	t.peak.see(now, t.running)
+	t.running = max(0, t.running-1)
+	t.lastUse = now
+	switch outcome.Kind {
+	case Succeeded:
+		t.succeed(now, epoch, outcome)
+	case Failed:
+		t.fail(now)
+	case Overloaded:
+		t.refuse(now, epoch)
+	case Crashed:
+		t.crash(now, epoch)
+	case Silent:
+		t.assume(now, t.foreign+1, t.Settings.absent())
+		t.fail(now)
+	case Canceled:
+	}
+}
+
+// FirstToken takes in the latency of a first token while its call still runs.
+func (t *Target) FirstToken(now time.Time, epoch int, latency time.Duration) {
+	if epoch == t.epoch && t.phase != Cold && t.first.ratio(latency) > coldRatio {
+		t.Chill(now, Slow)
+	}
+}
+
+func (t *Target) succeed(now time.Time, epoch int, outcome Outcome) {
+	t.failures = 0
+	t.latency.add(now, outcome.Latency)
+	if epoch != t.epoch {
+		return
+	}
+	t.backoff = 0
+	t.probing = false
+	first := outcome.FirstToken
+	if first <= 0 {
+		first = outcome.Latency
+	}
+	t.FirstToken(now, epoch, first)
+	if epoch != t.epoch {
+		return
+	}
+	ratio := max(t.first.ratio(first), t.between.ratio(outcome.pace()))
+	if t.phase == Cold {
+		t.prove(ratio)
+	} else {
+		t.adapt(now, ratio, outcome.Latency)
+	}
+	if t.phase != Cold {
+		t.first.add(first)
+		t.between.add(outcome.pace())
+	}
+}
+
+// prove counts an answer of a cold target and ends the cold start after enough
+// of them. Slow answers count as well once there are many, since the norm may
+// have moved.
+func (t *Target) prove(ratio float64) {
+	t.answers++
+	if ratio <= congestedRatio {
+		t.proofs++
+	}
+	need := t.Settings.WarmUpCalls
+	if t.proofs >= need || t.answers >= 4*need {
+		t.phase = Rising
+	}
+}
+
+// adapt moves the limit of a warm target by one answer.
+func (t *Target) adapt(now time.Time, ratio float64, latency time.Duration) {
+	if ratio > congestedRatio {
+		t.shrink(now, latency)
+		return
+	}
+	if t.running+1 < int(t.limit) {
+		return // The limit was not in use: the answer says nothing about it.
+	}
+	if t.phase == Rising && t.limit < t.threshold {
+		t.limit++
+	} else {
+		t.phase = Warm
+		t.limit += 1 / max(1, t.limit)
+	}
+	t.limit = min(t.limit, float64(t.Settings.WarmLimit))
+	if t.limit >= float64(t.Settings.WarmLimit) {
+		t.phase = Warm
+	}
+}
+
+// shrink lowers the limit at most once in the time of one call.
+func (t *Target) shrink(now time.Time, latency time.Duration) {
+	if now.Sub(t.lastShrink) < latency {
+		return
+	}
+	t.lastShrink = now
+	t.phase = Warm
+	t.limit = max(1, t.limit*shrinkFactor)
+	t.threshold = t.limit
+}
+
+func (t *Target) fail(now time.Time) {
+	t.failures++
+	if t.failures >= failureStreak {
+		t.Chill(now, Broken)
+		t.back(now)
+	}
+}
+
+func (t *Target) refuse(now time.Time, epoch int) {
+	t.failures++
+	if epoch != t.epoch {
+		return
+	}
+	t.Chill(now, Refused)
+	if t.failures >= failureStreak {
+		t.back(now)
+	}
+}
+
+func (t *Target) crash(now time.Time, epoch int) {
+	if epoch != t.epoch && t.probing {
+		return // One crash ends several calls: it counts once.
+	}
+	t.Chill(now, Reset)
+	t.back(now)
+	t.probing = true
+}
+
+// back keeps calls away from the target for a time that doubles.
+func (t *Target) back(now time.Time) {
+	t.backoff = min(longestBackoff, max(firstBackoff, 2*t.backoff))
+	t.notBefore = now.Add(t.backoff)
+}
