--- /dev/null
+++ b/poison/order.go
@@ -0,0 +1,16 @@
+package poison
+
+import "cmp"
+
+func compare(a, b Rumour) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) }
+
+// lessWorth reports whether a is dropped before b.
+func lessWorth(a, b Rumour) bool {
+	if x, y := a.counted(), b.counted(); x != y {
+		return x < y
+	}
+	if !a.Until.Equal(b.Until) {
+		return a.Until.Before(b.Until)
+	}
+	return a.Fingerprint < b.Fingerprint
+}
--- /dev/null
+++ b/poison/table.go
@@ -0,0 +1,155 @@
+package poison
+
+import (
+	"encoding/binary"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Standing says how a request may run.
+type Standing int
+
+// The standings of a request.
+const (
+	// Clean means that the request may run beside others.
+	Clean Standing = iota
+	// Suspect means that the request may run only alone on its target.
+	Suspect
+	// Condemned means that the request is refused.
+	Condemned
+)
+
+const (
+	defaultCapacity = 4096
+	suspectFor      = 10 * time.Minute
+	condemnedFor    = 30 * time.Minute
+	condemnedAfter  = 2 // Crashes after which a request is condemned.
+	maxCrashes      = 8 // Crashes remembered for one fingerprint.
+
+	// oneCrash is the time in which failures on one target are the same crash.
+	oneCrash = 250 * time.Millisecond
+)
+
+// Table holds the fingerprints of requests that were part of a crash. The zero
+// value is ready for use.
+type Table struct {
+	// Capacity bounds the number of fingerprints; zero means 4096.
+	Capacity int
+
+	rumours map[uint64]Rumour
+}
+
+// Check returns how a request may run at now.
+func (t *Table) Check(now time.Time, fingerprint uint64) Standing {
+	r, known := t.rumours[fingerprint]
+	if !known || now.After(r.Until) {
+		return Clean
+	}
+	switch n := r.counted(); {
+	case n >= condemnedAfter:
+		return Condemned
+	case n > 0:
+		return Suspect
+	}
+	return Clean
+}
+
+// Crashed takes in that a target crashed at now while requests were in flight on
+// it, and returns what to tell the other nodes.
+func (t *Table) Crashed(now time.Time, target string, fingerprints []uint64) []Rumour {
+	crash := crashID(now, target)
+	rumours := make([]Rumour, 0, len(fingerprints))
+	for _, f := range fingerprints {
+		r := Rumour{Fingerprint: f, Crashes: []uint64{crash}, Until: now.Add(suspectFor)}
+		rumours = append(rumours, t.merge(now, r))
+	}
+	return rumours
+}
+
+// Completed takes in that a suspect ran alone and completed, and returns what to
+// tell the other nodes.
+func (t *Table) Completed(now time.Time, fingerprint uint64) []Rumour {
+	r, known := t.rumours[fingerprint]
+	if !known || t.Check(now, fingerprint) != Suspect {
+		return nil
+	}
+	r.Cleared = slices.Clone(r.Crashes)
+	return []Rumour{t.merge(now, r)}
+}
+
+// Observe takes in a rumour from another node, and reports whether it was news.
+func (t *Table) Observe(now time.Time, rumour Rumour) bool {
+	if now.After(rumour.Until) {
+		return false
+	}
+	before := t.rumours[rumour.Fingerprint]
+	after := t.merge(now, rumour)
+	return len(after.Crashes) != len(before.Crashes) || len(after.Cleared) != len(before.Cleared)
+}
+
+// Rumours returns all that is in force at now, sorted by fingerprint.
+func (t *Table) Rumours(now time.Time) []Rumour {
+	var all []Rumour
+	for _, r := range t.rumours {
+		if !now.After(r.Until) {
+			all = append(all, r)
+		}
+	}
+	slices.SortFunc(all, compare)
+	return all
+}
+
+func (t *Table) merge(now time.Time, rumour Rumour) Rumour {
+	if t.rumours == nil {
+		t.rumours = make(map[uint64]Rumour)
+	}
+	old, known := t.rumours[rumour.Fingerprint]
+	if known && now.After(old.Until) {
+		old = Rumour{}
+	}
+	if !known {
+		t.makeRoom(now)
+	}
+	merged := rumour.with(old)
+	if merged.counted() >= condemnedAfter && old.counted() < condemnedAfter {
+		merged.Until = now.Add(condemnedFor)
+	}
+	t.rumours[rumour.Fingerprint] = merged
+	return merged
+}
+
+// makeRoom drops what has expired and, if that is not enough, the rumour that
+// counts the fewest crashes and expires first.
+func (t *Table) makeRoom(now time.Time) {
+	if len(t.rumours) < t.capacity() {
+		return
+	}
+	var worst Rumour
+	found := false
+	for f, r := range t.rumours {
+		if now.After(r.Until) {
+			delete(t.rumours, f)
+			continue
+		}
+		if !found || lessWorth(r, worst) {
+			worst, found = r, true
+		}
+	}
+	if found && len(t.rumours) >= t.capacity() {
+		delete(t.rumours, worst.Fingerprint)
+	}
+}
+
+func (t *Table) capacity() int {
+	if t.Capacity <= 0 {
+		return defaultCapacity
+	}
+	return t.Capacity
+}
+
+func crashID(now time.Time, target string) uint64 {
+	text := binary.LittleEndian.AppendUint64([]byte(target), uint64(now.UnixNano()/int64(oneCrash)))
+	return xxhash.Sum64(text)
+}
--- /dev/null
+++ b/retry/budget.go
@@ -0,0 +1,43 @@
+package retry
+
+import "time"
+
+const (
+	floorPerSecond = 0.5 // Retries allowed without any first attempt.
+	largestSaving  = 10  // Retries that a budget may hold at most.
+)
+
+// Budget bounds retries as a share of first attempts. The zero value allows
+// only the floor.
+type Budget struct {
+	// Share is the number of retries allowed for each first attempt.
+	Share float64
+
+	tokens  float64
+	updated time.Time
+}
+
+// First counts a first attempt at now.
+func (b *Budget) First(now time.Time) {
+	b.settle(now)
+	b.tokens = min(largestSaving, b.tokens+b.Share)
+}
+
+// Spend takes one retry out of the budget and reports whether there was one.
+func (b *Budget) Spend(now time.Time) bool {
+	b.settle(now)
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+func (b *Budget) settle(now time.Time) {
+	if b.updated.IsZero() {
+		b.tokens = 1
+	} else {
+		b.tokens = min(largestSaving, b.tokens+floorPerSecond*max(0, now.Sub(b.updated).Seconds()))
+	}
+	b.updated = now
+}
