Leave a margin for the spread of call times

Cause: at overload the earliest deadline goes first, so calls start with just the mean call time left, and half of them end too late. Ruled out: the limits (no refusals by targets) and the queue's length. Change: the time of calls is kept as mean and mean deviation; the door, the queue and the dispatch leave mean plus two deviations. Actions are no longer reused between steps. Counting entries ahead follows the heap.

--- a/pool/admit.go
+++ b/pool/admit.go
@@ -51,11 +51,11 @@
 		return nil
 	}
 	cost := p.cost(c)
-	if now.Add(cost).After(c.Deadline) {
-		return refusal(fault.DeadlineExceeded, 0, "the call takes %s, longer than the time left", cost)
+	if p.late(now, c) {
+		return refusal(fault.DeadlineExceeded, 0, "the call takes %s, longer than the time left", cost.high())
 	}
-	wait := p.queue.Wait(c.Class, c.Account, c.Deadline, cost, p.speed(now))
-	if now.Add(wait + cost).After(c.Deadline) {
+	wait := p.queue.Wait(c.Class, c.Account, c.Deadline, time.Duration(cost.mean), p.speed(now))
+	if p.late(now.Add(wait), c) {
 		return refusal(fault.Busy, retryAfter(wait), "the wait of %s is longer than the time left", wait)
 	}
 	return nil
@@ -67,7 +67,7 @@
 		Account:    c.Account,
 		Class:      c.Class,
 		Deadline:   c.Deadline,
-		Cost:       p.cost(c),
+		Cost:       p.cost(c).high(),
 		MustFinish: c.MustFinish,
 	}
 	if p.Policy.plain() {
@@ -89,7 +89,7 @@
 		}
 	}
 	for _, c := range slices.Clone(p.apart) {
-		if now.Add(p.cost(c)).After(c.Deadline) {
+		if p.late(now, c) {
 			p.withdraw(c)
 			p.refuse(c, expired())
 		}
@@ -122,9 +122,19 @@
 	return float64(total)
 }
 
-// cost returns the expected time of a call on a target.
-func (p *Pool) cost(c *call) time.Duration {
-	return p.costs.value(c.Stage, p.Config.Sections.Services[p.Spec.Service].Typical())
+// cost returns the recent time of calls like c on a target.
+func (p *Pool) cost(c *call) cost { return p.costs.value(c.Stage, p.typical()) }
+
+func (p *Pool) typical() time.Duration {
+	return p.Config.Sections.Services[p.Spec.Service].Typical()
+}
+
+// late reports whether a call that starts at now would end after its deadline.
+func (p *Pool) late(now time.Time, c *call) bool {
+	if p.Policy.plain() {
+		return !now.Before(c.Deadline)
+	}
+	return now.Add(p.cost(c).high()).After(c.Deadline)
 }
 
 // expectedWait returns the time until all that waits would be dispatched.
@@ -133,8 +143,7 @@
 	if count == 0 {
 		return 0
 	}
-	mean := p.costs.value("", p.Config.Sections.Services[p.Spec.Service].Typical())
-	return time.Duration(float64(count) * float64(mean) / max(1, p.speed(now)))
+	return time.Duration(float64(count) * p.costs.value("", p.typical()).mean / max(1, p.speed(now)))
 }
 
 func retryAfter(wait time.Duration) time.Duration {
--- a/pool/cost.go
+++ b/pool/cost.go
@@ -1,19 +1,39 @@
 package pool
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
-	maxStages = 256
-	costGain  = 0.1
+	maxStages       = 256
+	costGain        = 0.1
+	deviationFactor = 2
 )
 
+// cost is the recent time of calls: mean and mean deviation in nanoseconds.
+type cost struct{ mean, deviation float64 }
+
+// with returns the cost after one more call.
+func (c cost) with(latency time.Duration) cost {
+	if c.mean == 0 {
+		return cost{mean: float64(latency), deviation: float64(latency) / 4}
+	}
+	off := float64(latency) - c.mean
+	c.mean += costGain * off
+	c.deviation += costGain * (math.Abs(off) - c.deviation)
+	return c
+}
+
+// high returns a time that few calls exceed.
+func (c cost) high() time.Duration {
+	return time.Duration(c.mean + deviationFactor*c.deviation)
+}
+
 // costTable holds the recent time of calls by stage, and of all under "".
-type costTable struct{ stages map[string]float64 }
+type costTable struct{ stages map[string]cost }
 
 func (t *costTable) add(stage string, latency time.Duration) {
-	if t.stages == nil {
-		t.stages = make(map[string]float64)
-	}
 	t.fold("", latency)
 	if stage != "" {
 		t.fold(stage, latency)
@@ -21,22 +41,23 @@
 }
 
 func (t *costTable) fold(stage string, latency time.Duration) {
-	mean, known := t.stages[stage]
-	if !known {
-		if len(t.stages) >= maxStages {
-			return
-		}
-		mean = float64(latency)
+	if t.stages == nil {
+		t.stages = make(map[string]cost)
+	}
+	c, known := t.stages[stage]
+	if !known && len(t.stages) >= maxStages {
+		return
 	}
-	t.stages[stage] = mean + costGain*(float64(latency)-mean)
+	t.stages[stage] = c.with(latency)
 }
 
-func (t *costTable) value(stage string, fallback time.Duration) time.Duration {
-	if mean, known := t.stages[stage]; known {
-		return time.Duration(mean)
+// value returns the cost of a stage, or that of all, or the fallback.
+func (t *costTable) value(stage string, fallback time.Duration) cost {
+	if c, known := t.stages[stage]; known {
+		return c
 	}
-	if mean, known := t.stages[""]; known {
-		return time.Duration(mean)
+	if c, known := t.stages[""]; known {
+		return c
 	}
-	return fallback
+	return cost{mean: float64(fallback)}
 }
--- a/pool/dispatch.go
+++ b/pool/dispatch.go
@@ -38,13 +38,6 @@
 	}
 }
 
-func (p *Pool) late(now time.Time, c *call) bool {
-	if p.Policy.plain() {
-		return !now.Before(c.Deadline)
-	}
-	return now.Add(p.cost(c)).After(c.Deadline)
-}
-
 // host returns the target for a call that is kept apart, or nil while none has
 // room. A call that runs alone reserves a target until that has become empty.
 func (p *Pool) host(now time.Time, c *call) *member {
--- a/pool/handover.go
+++ b/pool/handover.go
@@ -25,8 +25,8 @@
 	for _, m := range p.members {
 		h.Targets[m.name] = m.target.State(now)
 	}
-	for k, mean := range p.costs.stages {
-		h.Costs[k] = time.Duration(mean)
+	for k, c := range p.costs.stages {
+		h.Costs[k] = time.Duration(c.mean)
 	}
 	return h
 }
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -36,10 +36,9 @@
 	actions   []Action
 }
 
-// Step takes in an event at now and returns what is to be done. The result is
-// valid until the next call.
+// Step takes in an event at now and returns what is to be done.
 func (p *Pool) Step(now time.Time, event Event) []Action {
-	p.actions = p.actions[:0]
+	p.actions = nil
 	p.prepare(now)
 	p.take(now, event)
 	p.dispatch(now)
--- /dev/null
+++ b/pool/status.go
@@ -0,0 +1,41 @@
+package pool
+
+import (
+	"time"
+
+	"bergamotworks/target"
+)
+
+// TargetStatus describes one target to operators.
+type TargetStatus struct {
+	Name  string       `json:"name"`
+	Phase target.Phase `json:"phase"`
+	// Cause says why the target last became cold.
+	Cause target.Cause `json:"cause"`
+	// Open says that the target may get new work.
+	Open  bool `json:"open"`
+	Limit int  `json:"limit"`
+	// Running counts own calls, Occupied also those that others may have left.
+	Running  int           `json:"running"`
+	Occupied int           `json:"occupied"`
+	Latency  time.Duration `json:"latency_ns"`
+}
+
+// Targets returns the status of each target at now, sorted by name.
+func (p *Pool) Targets(now time.Time) []TargetStatus {
+	p.prepare(now)
+	all := make([]TargetStatus, 0, len(p.members))
+	for _, m := range p.members {
+		all = append(all, TargetStatus{
+			Name:     m.name,
+			Phase:    m.target.Phase(),
+			Cause:    m.target.Cause(),
+			Open:     m.open,
+			Limit:    m.target.Limit(now),
+			Running:  m.target.Running(),
+			Occupied: m.target.Occupied(now),
+			Latency:  m.target.Latency(now),
+		})
+	}
+	return all
+}
--- a/pool/summary.go
+++ b/pool/summary.go
@@ -30,7 +30,7 @@
 		Domain:       p.Spec.Domain,
 		Queued:       p.queue.Len() + len(p.apart),
 		ExpectedWait: p.expectedWait(now),
-		Cost:         p.costs.value("", p.Config.Sections.Services[p.Spec.Service].Typical()),
+		Cost:         time.Duration(p.costs.value("", p.typical()).mean),
 		Prefixes:     p.prefixes.latest(maxSummaryPrefixes),
 	}
 	if p.suspended || p.drained {
--- a/queue/order.go
+++ b/queue/order.go
@@ -129,13 +129,15 @@
 	return share
 }
 
-// ahead returns how many entries of the account go before a new one.
+// ahead returns how many entries of the account go before a new one. Below an
+// entry of the heap that goes later there is none that goes before.
 func (a *account) ahead(deadline time.Time) int {
-	count := 0
-	for _, e := range a.entries {
-		if !e.Deadline.After(deadline) {
-			count++
-		}
+	return a.entries.ahead(0, deadline)
+}
+
+func (h entryHeap) ahead(i int, deadline time.Time) int {
+	if i >= len(h) || h[i].Deadline.After(deadline) {
+		return 0
 	}
-	return count
+	return 1 + h.ahead(2*i+1, deadline) + h.ahead(2*i+2, deadline)
 }
