Place prompt prefixes by hash within a bound on load

Cause: each dispatch marked its target as a holder of the prefix and nothing took the mark away, so that every target seemed to hold every prefix. Change: a dispatch to a target that was no holder replaces the holders; engines' own reports add to them. Without a holder the target with the first hash goes. Both only while the target is within 2 times the mean load.

--- a/pool/config.go
+++ b/pool/config.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"bergamotworks/fault"
 	"bergamotworks/note"
 	"bergamotworks/target"
@@ -87,7 +89,7 @@
 	for _, m := range p.members {
 		used |= 1 << m.slot
 	}
-	m := &member{name: name, slot: bits.TrailingZeros64(^used)}
+	m := &member{name: name, hash: xxhash.Sum64String(name), slot: bits.TrailingZeros64(^used)}
 	i, _ := slices.BinarySearchFunc(p.members, name, compareMember)
 	p.members = slices.Insert(p.members, i, m)
 	return m
--- a/pool/dispatch.go
+++ b/pool/dispatch.go
@@ -114,6 +114,6 @@
 	m.target.Start(now)
 	c.member = m
 	c.epoch = m.target.Epoch()
-	p.prefixes.add(c.Prefix, m.slot)
+	p.prefixes.use(c.Prefix, m.slot)
 	p.actions = append(p.actions, Dispatch{Attempt: c.Attempt, Target: m.name, Address: m.address})
 }
--- a/pool/member.go
+++ b/pool/member.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"math"
 	"time"
 
 	"bergamotworks/note"
@@ -11,6 +12,7 @@
 type member struct {
 	name    string
 	address string
+	hash    uint64
 	slot    int // Bit in the prefix index.
 	target  target.Target
 	open    bool  // New work is allowed.
@@ -46,6 +48,13 @@
 	return float64(m.target.Occupied(now)+1) / float64(max(1, m.target.Limit(now)))
 }
 
+// full reports whether one more call would take more than a part of the limit;
+// one call alone is never too much.
+func (m *member) full(now time.Time, part float64) bool {
+	occupied := m.target.Occupied(now)
+	return occupied > 0 && float64(occupied+1) > math.Ceil(part*float64(m.target.Limit(now)))
+}
+
 // score weighs load by latency: the lower, the sooner a call ends.
 func (m *member) score(now time.Time) float64 {
 	return m.load(now) * m.target.Latency(now).Seconds()
--- a/pool/pick.go
+++ b/pool/pick.go
@@ -21,26 +21,38 @@
 	return p.pickHolder(now, c, best)
 }
 
-// pickHolder returns the emptiest target that may hold the call's prefix, if it
-// is not much fuller than the best one.
+// pickHolder returns the target, among those not much fuller than the average,
+// that is likeliest to hold the call's prefix: one known to, else the first by
+// hash. It returns best if all are too full.
 func (p *Pool) pickHolder(now time.Time, c *call, best *member) *member {
 	holders := p.prefixes.holders(c.Prefix)
-	if holders == 0 {
-		return best
-	}
-	holder := p.pickBy(now, c, func(m *member) float64 {
-		if holders&(1<<m.slot) == 0 {
-			return notHeld
+	bound := p.affinityBound() * p.meanLoad(now)
+	found := best
+	held, highest := false, uint64(0)
+	for _, m := range p.members {
+		if m.free(now) <= 0 || p.avoids(c, m) || m.full(now, bound) {
+			continue
+		}
+		holds := holders&(1<<m.slot) != 0
+		hash := prefixHash(m.hash, c.Prefix)
+		if holds == held && hash > highest || holds && !held {
+			found, held, highest = m, holds, hash
 		}
-		return m.score(now)
-	})
-	if holders&(1<<holder.slot) == 0 || holder.score(now) > p.affinityBound()*best.score(now) {
-		return best
 	}
-	return holder
+	return found
 }
 
-const notHeld = 1e18 // Score of a target that does not hold the prefix.
+// meanLoad returns the part of all limits that would be taken with one more call.
+func (p *Pool) meanLoad(now time.Time) float64 {
+	taken, limit := 1, 0
+	for _, m := range p.members {
+		if m.open {
+			taken += m.target.Occupied(now)
+			limit += m.target.Limit(now)
+		}
+	}
+	return float64(taken) / float64(max(1, limit))
+}
 
 func (p *Pool) affinityBound() float64 {
 	if p.AffinityBound <= 0 {
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -18,8 +18,8 @@
 	Nodes int
 	// QueueLimit bounds the waiting calls; zero means a multiple of the limits.
 	QueueLimit int
-	// AffinityBound is how much fuller a target that holds a call's prefix may
-	// be than the emptiest one; zero means 2.
+	// AffinityBound is how much fuller than the average a target may be that is
+	// chosen for its prefix cache; zero means 2.
 	AffinityBound float64
 
 	members   []*member // Sorted by name.
@@ -106,7 +106,6 @@
 	switch event.Outcome.Kind {
 	case Succeeded:
 		p.costs.add(c.Stage, event.Outcome.Latency)
-		p.prefixes.add(c.Prefix, m.slot)
 	case Crashed:
 		p.prefixes.drop(m.slot)
 	case Failed, Overloaded, Silent, Canceled:
--- a/pool/prefix.go
+++ b/pool/prefix.go
@@ -1,7 +1,19 @@
 package pool
 
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+)
+
 const maxPrefixes = 8192
 
+// prefixHash returns a number by which targets rank for a prefix.
+func prefixHash(target, prefix uint64) uint64 {
+	text := binary.LittleEndian.AppendUint64(nil, target)
+	return xxhash.Sum64(binary.LittleEndian.AppendUint64(text, prefix))
+}
+
 // prefixIndex says which targets may hold a prompt prefix in their cache. Its
 // entries are hints: they come from dispatches and from late, incomplete events.
 type prefixIndex struct {
@@ -12,6 +24,19 @@
 
 func (x *prefixIndex) holders(prefix uint64) uint64 { return x.slots[prefix] }
 
+// use enters the target that last ran a prefix. What other targets held before
+// may have left their caches since, unless they report it again.
+func (x *prefixIndex) use(prefix uint64, slot int) {
+	if x.holders(prefix)&(1<<slot) != 0 {
+		return
+	}
+	x.add(prefix, slot)
+	if prefix != 0 {
+		x.slots[prefix] = 1 << slot
+	}
+}
+
+// add enters a target that reports to hold a prefix.
 func (x *prefixIndex) add(prefix uint64, slot int) {
 	if prefix == 0 {
 		return
