Judge latency by its recent mean

Cause: a single answer of twice the usual time shrank the limit. Calls that miss a prefix cache take that long, and limits fell from 16 to 3 at 80 per cent load. Ruled out: the affinity bound (hit ratio 0.42 to 0.48 for every bound from 1.2 to 8). Change: the limit shrinks when the recent mean, not one call, exceeds twice the usual mean.

--- a/target/finish.go
+++ b/target/finish.go
@@ -47,16 +47,13 @@
 	if epoch != t.epoch {
 		return
 	}
-	ratio := max(t.first.ratio(first), t.between.ratio(outcome.pace()))
 	if t.phase == Cold {
-		t.prove(ratio)
-	} else {
-		t.adapt(now, ratio, outcome.Latency)
-	}
-	if t.phase != Cold {
-		t.first.add(first)
-		t.between.add(outcome.pace())
+		t.prove(max(t.first.ratio(first), t.between.ratio(outcome.pace())))
+		return
 	}
+	t.first.add(first)
+	t.between.add(outcome.pace())
+	t.adapt(now, max(t.first.excess(), t.between.excess()), outcome.Latency)
 }
 
 // prove counts an answer of a cold target and ends the cold start after enough
--- a/target/norm.go
+++ b/target/norm.go
@@ -2,24 +2,38 @@
 
 import "time"
 
-// norm is the usual value of a latency. It falls quickly and rises slowly, so
-// that a congested spell does not become the usual value at once.
+const (
+	recentGain = 0.1
+	normFall   = 0.2
+	normRise   = 0.005
+)
+
+// norm compares the recent mean of a latency with its usual value. The usual
+// value falls quickly and rises slowly, so that a congested spell does not
+// become usual at once. Both are means: one slow call is no congestion.
 type norm struct {
-	value   float64
+	recent  float64
+	usual   float64
 	samples int
 }
 
-const (
-	normFall = 0.2
-	normRise = 0.01
-)
+// known reports whether enough was seen for a comparison.
+func (n *norm) known() bool { return n.samples >= minimumSamples && n.usual > 0 }
 
-// ratio returns the sample over the norm, 1 while the norm is not known.
+// ratio returns a sample over the usual value, 1 while that is not known.
 func (n *norm) ratio(sample time.Duration) float64 {
-	if n.samples < minimumSamples || sample <= 0 || n.value <= 0 {
+	if !n.known() || sample <= 0 {
 		return 1
 	}
-	return float64(sample) / n.value
+	return float64(sample) / n.usual
+}
+
+// excess returns the recent mean over the usual value, 1 while that is not known.
+func (n *norm) excess() float64 {
+	if !n.known() {
+		return 1
+	}
+	return n.recent / n.usual
 }
 
 func (n *norm) add(sample time.Duration) {
@@ -28,12 +42,25 @@
 	}
 	n.samples++
 	if n.samples == 1 {
-		n.value = float64(sample)
+		n.recent = float64(sample)
+		n.usual = n.recent
 		return
 	}
+	n.recent += recentGain * (float64(sample) - n.recent)
 	gain := normRise
-	if float64(sample) < n.value {
+	if n.recent < n.usual || n.samples < minimumSamples {
 		gain = normFall
 	}
-	n.value += gain * (float64(sample) - n.value)
+	n.usual += gain * (n.recent - n.usual)
+}
+
+// restart forgets the recent mean, after which the usual value still counts.
+func (n *norm) restart() { n.recent = n.usual }
+
+// inheritedNorm returns a norm whose usual value another node has found.
+func inheritedNorm(usual float64) norm {
+	if usual <= 0 {
+		return norm{}
+	}
+	return norm{recent: usual, usual: usual, samples: minimumSamples}
 }
--- a/target/report.go
+++ b/target/report.go
@@ -77,7 +77,7 @@
 	return State{
 		Phase: t.phase, Limit: t.limit, Threshold: t.threshold,
 		Proofs: t.proofs, Answers: t.answers, Running: t.Occupied(now),
-		First: t.first.value, Between: t.between.value,
+		First: t.first.usual, Between: t.between.usual,
 		Latency: t.Latency(now), Incarnation: t.incarnation,
 	}
 }
@@ -91,8 +91,8 @@
 	t.threshold = state.Threshold
 	t.proofs = state.Proofs
 	t.answers = state.Answers
-	t.first = norm{value: state.First, samples: minimumSamples}
-	t.between = norm{value: state.Between, samples: minimumSamples}
+	t.first = inheritedNorm(state.First)
+	t.between = inheritedNorm(state.Between)
 	t.incarnation = state.Incarnation
 	if state.Latency > 0 {
 		t.latency = average{mean: float64(state.Latency), seen: now}
--- a/target/target.go
+++ b/target/target.go
@@ -137,6 +137,8 @@
 	t.answers = 0
 	t.proofs = 0
 	t.epoch++
+	t.first.restart()
+	t.between.restart()
 	t.lastUse = now
 }
 
