--- /dev/null
+++ b/poison/poison_test.go
@@ -0,0 +1,70 @@
+package poison_test
+
+import (
+	"testing"
+	"time"
+
+	"bergamotworks/poison"
+	"bergamotworks/script"
+)
+
+type tableScript struct {
+	About    string      `json:"about"`
+	Capacity int         `json:"capacity"`
+	Steps    []tableStep `json:"steps"`
+}
+
+// tableStep is one event on one of two nodes, or an exchange between them.
+type tableStep struct {
+	AtMS   int64           `json:"at_ms"`
+	Node   int             `json:"node"`
+	Crash  string          `json:"crash"`
+	Prints []uint64        `json:"prints"`
+	Done   uint64          `json:"done"`
+	Gossip bool            `json:"gossip"`
+	Check  uint64          `json:"check"`
+	Want   poison.Standing `json:"want"`
+}
+
+func TestTables(t *testing.T) {
+	origin := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	script.Run(t, "testdata/*.json", func(t *testing.T, data tableScript) {
+		tables := []*poison.Table{{Capacity: data.Capacity}, {Capacity: data.Capacity}}
+		for i, s := range data.Steps {
+			now := origin.Add(time.Duration(s.AtMS) * time.Millisecond)
+			table := tables[s.Node]
+			switch {
+			case s.Crash != "":
+				table.Crashed(now, s.Crash, s.Prints)
+			case s.Done != 0:
+				table.Completed(now, s.Done)
+			case s.Gossip:
+				exchange(now, tables)
+			default:
+				if got := table.Check(now, s.Check); got != s.Want {
+					t.Errorf("step %d: %d is %s, want %s", i, s.Check, got, s.Want)
+				}
+			}
+		}
+	})
+}
+
+func exchange(now time.Time, tables []*poison.Table) {
+	for i, a := range tables {
+		for _, r := range a.Rumours(now) {
+			tables[1-i].Observe(now, r)
+		}
+	}
+}
+
+func BenchmarkCheck(b *testing.B) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	table := &poison.Table{}
+	for f := range uint64(4096) {
+		table.Crashed(now, "t", []uint64{f})
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		table.Check(now, 77)
+	}
+}
--- /dev/null
+++ b/queue/queue_test.go
@@ -0,0 +1,123 @@
+package queue_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"bergamotworks/note"
+	"bergamotworks/queue"
+	"bergamotworks/script"
+)
+
+var origin = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "20260101")
+	_ = flag.Set("rapid.nofailfile", "true")
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+type orderScript struct {
+	About    string                        `json:"about"`
+	Classes  map[string]note.Class         `json:"classes"`
+	Accounts map[string]note.ClientAccount `json:"accounts"`
+	Entries  []entryGroup                  `json:"entries"`
+	AtMS     int64                         `json:"at_ms"`
+	Pops     int                           `json:"pops"`
+	Expired  []string                      `json:"expired"`
+	Order    []string                      `json:"order"`
+	Counts   map[string]int                `json:"counts"` // Entries served by class and account.
+}
+
+type entryGroup struct {
+	ID      string `json:"id"`
+	Count   int    `json:"count"`
+	Class   string `json:"class"`
+	Account string `json:"account"`
+	DueMS   int64  `json:"due_ms"`
+	CostMS  int64  `json:"cost_ms"`
+}
+
+func (g entryGroup) push(q *queue.Queue) {
+	for i := range max(1, g.Count) {
+		q.Push(&queue.Entry{ID: fmt.Sprint(g.ID, i), Class: g.Class, Account: g.Account,
+			Deadline: origin.Add(time.Duration(g.DueMS+int64(i)) * time.Millisecond), Cost: time.Duration(g.CostMS) * time.Millisecond})
+	}
+}
+
+func TestOrder(t *testing.T) {
+	script.Run(t, "testdata/*.json", func(t *testing.T, data orderScript) {
+		q := &queue.Queue{Capacity: 10000, Classes: data.Classes, Accounts: data.Accounts}
+		for _, g := range data.Entries {
+			g.push(q)
+		}
+		var expired, order []string
+		for _, e := range q.Expired(origin.Add(time.Duration(data.AtMS) * time.Millisecond)) {
+			expired = append(expired, e.ID)
+		}
+		if diff := cmp.Diff(data.Expired, expired); diff != "" {
+			t.Errorf("expired (-want +got):\n%s", diff)
+		}
+		counts := make(map[string]int)
+		for range data.Pops {
+			e := q.Pop()
+			order = append(order, e.ID)
+			counts[e.Class]++
+			counts[e.Account]++
+		}
+		if diff := cmp.Diff(data.Order, order); data.Order != nil && diff != "" {
+			t.Errorf("order (-want +got):\n%s", diff)
+		}
+		for k, v := range data.Counts {
+			if counts[k] != v {
+				t.Errorf("%s was served %d times, want %d", k, counts[k], v)
+			}
+		}
+	})
+}
+
+// TestShares checks that a class with waiting entries gets its guaranteed share
+// whatever the others offer.
+func TestShares(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := &queue.Queue{Capacity: 100000, Classes: map[string]note.Class{}}
+		left := 0.9
+		for _, n := range []string{"x", "y", "z"} {
+			share := rapid.Float64Range(0.02, left/2).Draw(t, "share")
+			left -= share
+			q.Classes[n] = note.Class{Priority: rapid.IntRange(0, 3).Draw(t, "priority"), Share: share}
+			entryGroup{ID: n, Count: 600, Class: n, Account: n, DueMS: rapid.Int64Range(0, 9999).Draw(t, "due"), CostMS: 10}.push(q)
+		}
+		counts := make(map[string]float64)
+		for range 500 {
+			counts[q.Pop().Class]++
+		}
+		for n, c := range q.Classes {
+			if counts[n] < 500*c.Share-10 {
+				t.Fatalf("class %s got %v of 500, its share is %.3f", n, counts[n], c.Share)
+			}
+		}
+	})
+}
+
+func BenchmarkPushPop(b *testing.B) {
+	for _, size := range []int{16, 1024} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			q := &queue.Queue{Capacity: 10000}
+			entryGroup{ID: "e", Count: size, Class: "x", Account: "a", CostMS: 10}.push(q)
+			b.ReportAllocs()
+			for b.Loop() {
+				e := q.Pop()
+				e.Deadline = e.Deadline.Add(time.Second)
+				q.Push(e)
+			}
+		})
+	}
+}
--- a/retry/decide.go
+++ b/retry/decide.go
@@ -21,7 +21,7 @@
 
 const (
 	maxAttempts = 3 // Attempts at one call that may run on a target.
-	maxRefusals = 4 // Refusals of one call that are followed by another pool.
+	maxRefusals = 2 // Refusals of one call that are followed by another pool.
 )
 
 // Failure describes a failed call.
--- a/route/chooser.go
+++ b/route/chooser.go
@@ -64,6 +64,7 @@
 	e.summary = summary
 	e.seen = now
 	e.sent = 0
+	e.sentAt = now
 }
 
 // Refused takes in that a pool refused a call at now and may be tried after wait.
@@ -88,12 +89,13 @@
 		return "", fault.New(fault.Unavailable, fault.NotRun, "no failure domain in service has targets of %s", request.Service)
 	}
 	e := c.choose(now, request, prefer(now, request, open))
-	e.sent++
+	e.send(now)
 	return e.spec.Name, nil
 }
 
 func (c *Chooser) choose(now time.Time, request Request, candidates []*entry) *entry {
-	best := c.better(now, c.draw(now, candidates), c.draw(now, candidates))
+	first := c.draw(now, candidates, nil)
+	best := c.better(now, first, c.draw(now, candidates, first))
 	if request.Prefix == 0 {
 		return best
 	}
--- a/route/draw.go
+++ b/route/draw.go
@@ -13,27 +13,35 @@
 	spareLoad            = 0.5 // Load below which a pool is never too full.
 )
 
-// draw returns a candidate at random, by capacity.
-func (c *Chooser) draw(now time.Time, candidates []*entry) *entry {
+// draw returns a candidate at random by capacity, another than the one given
+// where there is one.
+func (c *Chooser) draw(now time.Time, candidates []*entry, other *entry) *entry {
 	total := 0.0
 	for _, e := range candidates {
-		total += e.capacity(now)
+		if e != other {
+			total += e.capacity(now)
+		}
 	}
 	point := float64(c.Random.Uint64()>>11) / (1 << 53) * total
+	last := other
 	for _, e := range candidates {
+		if e == other {
+			continue
+		}
+		last = e
 		point -= e.capacity(now)
 		if point < 0 {
-			return e
+			break
 		}
 	}
-	return candidates[len(candidates)-1]
+	return last
 }
 
 // better returns the one of two pools where a call would end sooner.
 func (c *Chooser) better(now time.Time, a, b *entry) *entry {
 	first, second := c.end(now, a), c.end(now, b)
 	if first == second {
-		first, second = time.Duration(a.load()*float64(time.Second)), time.Duration(b.load()*float64(time.Second))
+		first, second = time.Duration(a.load(now)*float64(time.Second)), time.Duration(b.load(now)*float64(time.Second))
 	}
 	if second < first {
 		return b
@@ -83,17 +91,17 @@
 // fits reports whether a pool chosen for its cache is not much fuller than the
 // candidates are on average.
 func (c *Chooser) fits(now time.Time, holder *entry, candidates []*entry) bool {
-	if holder.load() <= spareLoad {
+	if holder.load(now) <= spareLoad {
 		return true
 	}
 	load, weight := 0.0, 0.0
 	for _, e := range candidates {
-		load += e.load() * e.capacity(now)
+		load += e.load(now) * e.capacity(now)
 		weight += e.capacity(now)
 	}
 	bound := c.AffinityBound
 	if bound <= 0 {
 		bound = defaultAffinityBound
 	}
-	return holder.load() <= bound*load/weight
+	return holder.load(now) <= bound*load/weight
 }
--- a/route/entry.go
+++ b/route/entry.go
@@ -11,8 +11,7 @@
 	freshFor = 2 * time.Second  // Age up to which a summary is taken at its word.
 	knownFor = 10 * time.Second // Age after which it says nothing.
 
-	defaultCost  = 100 * time.Millisecond
-	defaultLimit = 1
+	defaultCost = 100 * time.Millisecond
 )
 
 // entry is what is known of one pool.
@@ -20,13 +19,14 @@
 	spec    pool.Spec
 	summary pool.Summary
 	seen    time.Time // Zero until a summary arrived.
-	sent    int       // Calls sent there since.
+	sent    float64   // Calls sent there since that have not started yet.
+	sentAt  time.Time // Time up to which sent is brought.
 	refused time.Time // Time until which the pool is known to refuse.
 }
 
 // capacity returns the weight with which the pool is drawn at now.
 func (e *entry) capacity(now time.Time) float64 {
-	limit := float64(max(defaultLimit, len(e.spec.Targets)))
+	limit := float64(max(1, len(e.spec.Targets)))
 	age := now.Sub(e.seen)
 	switch {
 	case e.seen.IsZero():
@@ -41,14 +41,13 @@
 
 // wait returns the time until a new call would start there at now.
 func (e *entry) wait(now time.Time) time.Duration {
-	if e.seen.IsZero() || now.Sub(e.seen) > knownFor {
-		return time.Duration(e.sent) * defaultCost
+	e.settle(now)
+	if !e.known(now) {
+		return time.Duration(e.sent * float64(defaultCost) / e.limit(now))
 	}
-	limit := max(1, e.summary.Limit)
-	late := e.sent - e.summary.Spare
 	wait := e.summary.ExpectedWait
-	if late >= 0 {
-		wait += time.Duration(late+1) * e.cost() / time.Duration(limit)
+	if late := e.sent - float64(e.summary.Spare); late >= 0 {
+		wait += time.Duration((late + 1) * float64(e.cost()) / e.limit(now))
 	}
 	if e.summary.Limit == 0 {
 		wait += closedWait
@@ -56,6 +55,33 @@
 	return wait
 }
 
+// known reports whether the last summary still says something.
+func (e *entry) known(now time.Time) bool {
+	return !e.seen.IsZero() && now.Sub(e.seen) <= knownFor
+}
+
+// limit returns the number of calls that may run there together, at least one.
+func (e *entry) limit(now time.Time) float64 {
+	if !e.known(now) {
+		return float64(max(1, len(e.spec.Targets)))
+	}
+	return float64(max(1, e.summary.Limit))
+}
+
+// send counts one more call sent there at now.
+func (e *entry) send(now time.Time) {
+	e.settle(now)
+	e.sent++
+}
+
+// settle takes off the sent calls that have started since, beyond those that
+// the last summary had room for.
+func (e *entry) settle(now time.Time) {
+	started := now.Sub(e.sentAt).Seconds() / e.cost().Seconds() * e.limit(now)
+	e.sent = max(0, e.sent-started)
+	e.sentAt = now
+}
+
 // closedWait is added for a pool whose targets take nothing at present.
 const closedWait = time.Second
 
@@ -71,8 +97,7 @@
 }
 
 // load returns the calls there, running and waiting, for each that may run.
-func (e *entry) load() float64 {
-	limit := max(1, e.summary.Limit)
-	busy := max(0, e.summary.Limit-e.summary.Spare) + e.summary.Queued + e.sent
-	return float64(busy) / float64(limit)
+func (e *entry) load(now time.Time) float64 {
+	busy := max(0, e.summary.Limit-e.summary.Spare) + e.summary.Queued
+	return (float64(busy) + e.sent) / e.limit(now)
 }
