Keep the open pools of a service ready

Cause: each choice looked at every target of the service for its state. Change: the open pools are found when a configuration comes into force, and nothing is filtered where nothing has been tried or refused.

--- a/route/chooser.go
+++ b/route/chooser.go
@@ -24,6 +24,7 @@
 	config   note.Config
 	entries  map[string]*entry
 	services map[string][]*entry // Sorted by pool name.
+	open     map[string][]*entry // Those of them that may get new work.
 }
 
 // Request describes the call for which a pool is sought.
@@ -44,6 +45,7 @@
 	known := c.entries
 	c.entries = make(map[string]*entry)
 	c.services = make(map[string][]*entry)
+	c.open = make(map[string][]*entry)
 	for _, s := range pool.Split(config) {
 		e := known[s.Name]
 		if e == nil {
@@ -52,6 +54,9 @@
 		e.spec = s
 		c.entries[s.Name] = e
 		c.services[s.Service] = append(c.services[s.Service], e)
+		if c.isOpen(s) {
+			c.open[s.Service] = append(c.open[s.Service], e)
+		}
 	}
 }
 
@@ -84,7 +89,7 @@
 	if len(all) == 0 {
 		return "", fault.New(fault.NotFound, fault.NotRun, "service %s has no targets", request.Service)
 	}
-	open := c.open(all)
+	open := c.open[request.Service]
 	if len(open) == 0 {
 		return "", fault.New(fault.Unavailable, fault.NotRun, "no failure domain in service has targets of %s", request.Service)
 	}
@@ -106,18 +111,12 @@
 	return best
 }
 
-// open returns the pools that have targets which may get new work.
-func (c *Chooser) open(all []*entry) []*entry {
-	var open []*entry
-	for _, e := range all {
-		if c.config.Sections.Domains[e.spec.Domain].State != note.InService {
-			continue
-		}
-		if slices.ContainsFunc(e.spec.Targets, c.targetOpen) {
-			open = append(open, e)
-		}
+// isOpen reports whether some target of the pool may get new work.
+func (c *Chooser) isOpen(spec pool.Spec) bool {
+	if c.config.Sections.Domains[spec.Domain].State != note.InService {
+		return false
 	}
-	return open
+	return slices.ContainsFunc(spec.Targets, c.targetOpen)
 }
 
 func (c *Chooser) targetOpen(name string) bool {
@@ -128,6 +127,10 @@
 // domains that were not tried, else of pools that were not tried, else all. Of
 // these, the ones that did not just refuse go first.
 func prefer(now time.Time, request Request, open []*entry) []*entry {
+	refusing := func(e *entry) bool { return now.Before(e.refused) }
+	if len(request.AvoidDomains)+len(request.AvoidPools) == 0 && !slices.ContainsFunc(open, refusing) {
+		return open
+	}
 	kinds := [][]*entry{
 		filter(open, func(e *entry) bool {
 			return !slices.Contains(request.AvoidDomains, e.spec.Domain) && !slices.Contains(request.AvoidPools, e.spec.Name)
@@ -139,7 +142,7 @@
 		if len(kind) == 0 {
 			continue
 		}
-		if willing := filter(kind, func(e *entry) bool { return !now.Before(e.refused) }); len(willing) > 0 {
+		if willing := filter(kind, func(e *entry) bool { return !refusing(e) }); len(willing) > 0 {
 			return willing
 		}
 		return kind
