Learn the time of calls that were given up

Cause: calls that are canceled at their deadline never told how long they took, so the expected time was too low and more calls were started that could not end. The model had let such calls run to their end and hid this. Change: the model cancels calls at their deadline; a canceled or silent call that took longer than the mean counts with the time it had taken.

--- a/pool/cost.go
+++ b/pool/cost.go
@@ -40,6 +40,14 @@
 	}
 }
 
+// addAtLeast takes in a call that was given up after a time: it would have taken
+// longer. It says nothing if most calls take longer anyway.
+func (t *costTable) addAtLeast(stage string, latency time.Duration) {
+	if float64(latency) > t.value(stage, latency).mean {
+		t.add(stage, latency)
+	}
+}
+
 func (t *costTable) fold(stage string, latency time.Duration) {
 	if t.stages == nil {
 		t.stages = make(map[string]cost)
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -108,7 +108,9 @@
 		p.costs.add(c.Stage, event.Outcome.Latency)
 	case Crashed:
 		p.prefixes.drop(m.slot)
-	case Failed, Overloaded, Silent, Canceled:
+	case Canceled, Silent:
+		p.costs.addAtLeast(c.Stage, event.Outcome.Latency)
+	case Failed, Overloaded:
 	}
 	p.retire(m)
 }
--- a/pool/target_model_test.go
+++ b/pool/target_model_test.go
@@ -34,6 +34,9 @@
 	if t.running > 3*w.Knee {
 		kind, work = pool.Overloaded, 1
 	}
+	if left := float64(r.due.Sub(w.now)) / float64(time.Millisecond); work > left {
+		kind, work = pool.Canceled, left // Nobody waits any longer.
+	}
 	w.after(time.Duration(work*float64(time.Millisecond)), func() {
 		if t.life == life { // Otherwise a crash has ended the call.
 			w.end(a.Attempt, r, kind, work)
@@ -58,19 +61,18 @@
 func (w *world) end(id string, r *modelRun, kind pool.OutcomeKind, work float64) {
 	t := w.targets[r.target]
 	t.running--
-	if kind == pool.Succeeded {
+	w.count["busy_ms"] += work
+	switch kind {
+	case pool.Succeeded:
 		t.proofs++
-		w.count["busy_ms"] += work
-		if w.now.Before(r.due) {
-			w.tally(r, "good", 1)
-		} else {
-			w.count["wasted_ms"] += work
-		}
-	} else {
+		w.tally(r, "good", 1)
+	case pool.Canceled:
+		w.count["wasted_ms"] += work
+	default:
 		w.count["refused_by_target"]++
 	}
 	w.tell(id, r, pool.Outcome{Kind: kind, Latency: time.Duration(work * float64(time.Millisecond))})
-	if kind != pool.Succeeded {
+	if kind == pool.Overloaded {
 		w.failed(r, fault.New(fault.Busy, fault.NotRun, "overloaded"))
 	}
 }
