Lower a target's limit when calls on it are given up

Cause: a target that accepts calls and answers none told nothing, since its calls were all canceled at their deadlines. Change: a call that was given up before its first token, after longer than that usually takes, counts with the time it had taken.

--- a/target/finish.go
+++ b/target/finish.go
@@ -21,6 +21,22 @@
 		t.assume(now, t.foreign+1, t.Settings.absent())
 		t.fail(now)
 	case Canceled:
+		t.giveUp(now, epoch, outcome)
+	}
+}
+
+// giveUp takes in that a call had not ended after a time: it would have taken
+// longer. It says nothing if calls usually take longer.
+func (t *Target) giveUp(now time.Time, epoch int, outcome Outcome) {
+	if outcome.Latency > t.Latency(now) {
+		t.latency.add(now, outcome.Latency)
+	}
+	if epoch != t.epoch || t.phase == Cold || outcome.FirstToken > 0 {
+		return
+	}
+	if t.first.ratio(outcome.Latency) > 1 {
+		t.first.add(outcome.Latency)
+		t.adapt(now, t.first.excess(), outcome.Latency)
 	}
 }
 
