Take back the rule that skipped slow targets

When no other target was free, a call was taken from the queue and had nowhere to go: a panic. The script mixed_stages meets the panic. BenchmarkStep measures a call through a pool.

--- a/pool/experiment_test.go
+++ b/pool/experiment_test.go
@@ -6,8 +6,11 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"testing"
+	"time"
 
+	"bergamotworks/note"
 	"bergamotworks/pool"
 	"bergamotworks/script"
 )
@@ -70,3 +73,47 @@
 		b.ReportMetric(figures[n], n)
 	}
 }
+
+// BenchmarkStep measures one call through a pool of 16 targets, submitted,
+// dispatched and finished, while a number of calls waits.
+func BenchmarkStep(b *testing.B) {
+	for _, waiting := range []int{0, 1000} {
+		b.Run(fmt.Sprintf("waiting_%d", waiting), func(b *testing.B) {
+			p := &pool.Pool{Config: benchmarkConfig(), QueueLimit: 2000}
+			p.Spec = pool.Split(p.Config)[0]
+			var running []string
+			for n := range waiting {
+				running = append(running, submit(p, -n)...)
+			}
+			b.ReportAllocs()
+			for n := 1; b.Loop(); n++ {
+				running = append(running, submit(p, n)...)
+				actions := p.Step(origin, pool.Finished{Attempt: running[0], Outcome: pool.Outcome{Latency: 50 * time.Millisecond}})
+				running = append(running[1:], dispatched(actions)...)
+			}
+		})
+	}
+}
+
+func benchmarkConfig() note.Config {
+	s := note.Sections{Services: map[string]note.Service{"model": {ColdLimit: 2, WarmLimit: 16, TypicalMS: 50}}, Targets: map[string]note.Target{}}
+	for i := range 16 {
+		s.Targets[fmt.Sprint("t", i)] = note.Target{Service: "model", Domain: "north"}
+	}
+	return note.Config{Sections: s}
+}
+
+func submit(p *pool.Pool, n int) []string {
+	call := pool.Call{Attempt: strconv.Itoa(n), Account: "a", Class: "x", Deadline: origin.Add(time.Hour)}
+	return dispatched(p.Step(origin, pool.Submitted{Call: call}))
+}
+
+func dispatched(actions []pool.Action) []string {
+	var ids []string
+	for _, a := range actions {
+		if d, ok := a.(pool.Dispatch); ok {
+			ids = append(ids, d.Attempt)
+		}
+	}
+	return ids
+}
--- a/pool/pick.go
+++ b/pool/pick.go
@@ -66,7 +66,7 @@
 	var best *member
 	lowest := 0.0
 	for _, m := range p.members {
-		if m.free(now) <= 0 || p.avoids(c, m) || m.slower(now, c.Deadline) {
+		if m.free(now) <= 0 || p.avoids(c, m) {
 			continue
 		}
 		if s := score(m); best == nil || s < lowest {
