Connect nodes by JSON-RPC with streamed answers

Cause: homes and owners exchange calls, and a connection can go silent. Change: package peer; silence is found by pings while calls wait, writes have a limit, a broken link is never used again, errors keep their verdict.

--- /dev/null
+++ b/peer/link.go
@@ -0,0 +1,207 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+
+	"bergamotworks/fault"
+)
+
+const (
+	dialTimeout   = 500 * time.Millisecond
+	checkInterval = 250 * time.Millisecond
+	pingAfter     = 750 * time.Millisecond  // Silence after which a ping is sent.
+	silentAfter   = 2000 * time.Millisecond // Silence after which a connection is closed.
+)
+
+// link is an outgoing connection to one VM. It is used for one connection
+// only; a broken link is replaced.
+type link struct {
+	mesh     *Mesh
+	vm       string
+	ready    chan struct{} // Closed once conn or err is set.
+	stream   net.Conn
+	conn     *jsonrpc2.Conn
+	err      error
+	stopped  atomic.Bool
+	received atomic.Int64 // Time of the last message in Unix nanoseconds.
+	waiting  atomic.Int64 // Number of calls that wait.
+	next     atomic.Uint64
+	mutex    sync.Mutex
+	chunks   map[uint64]func(json.RawMessage)
+}
+
+// run dials, then watches the connection until it ends.
+func (l *link) run() {
+	defer l.mesh.running.Done()
+	l.dial()
+	close(l.ready)
+	if l.err != nil {
+		return
+	}
+	if l.broken() {
+		l.close()
+	}
+	for {
+		select {
+		case <-l.conn.DisconnectNotify():
+			l.close()
+			return
+		case now := <-l.mesh.Clock.After(checkInterval):
+			l.check(now)
+		}
+	}
+}
+
+func (l *link) dial() {
+	address, ok := l.mesh.Directory(l.vm)
+	if !ok {
+		l.fail(fault.New(fault.Unavailable, fault.NotRun, "no address for VM %s", l.vm))
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	stream, err := l.mesh.Network.Dial(ctx, address)
+	if err != nil {
+		l.fail(fault.New(fault.Unavailable, fault.NotRun, "connect to VM %s: %s", l.vm, err))
+		return
+	}
+	l.received.Store(l.mesh.Clock.Now().UnixNano())
+	l.stream = &writeLimited{Conn: stream, clock: l.mesh.Clock}
+	l.chunks = make(map[uint64]func(json.RawMessage))
+	l.conn = jsonrpc2.NewConn(context.Background(), jsonrpc2.NewPlainObjectStream(l.stream), l, jsonrpc2.OnRecv(l.onReceive), jsonrpc2.SetLogger(protocolLog{l.mesh.Log}))
+}
+
+func (l *link) fail(err error) {
+	l.stopped.Store(true)
+	l.err = err
+}
+
+func (l *link) wait(ctx context.Context) error {
+	select {
+	case <-l.ready:
+		return l.err
+	case <-ctx.Done():
+		return fault.From(ctx.Err()).WithVerdict(fault.NotRun)
+	}
+}
+
+func (l *link) broken() bool {
+	return l.stopped.Load()
+}
+
+func (l *link) close() {
+	l.stopped.Store(true)
+	select {
+	case <-l.ready:
+	default:
+		return // The run method closes a connection that is marked while it dials.
+	}
+	if l.conn != nil {
+		_ = l.stream.Close()
+		_ = l.conn.Close()
+	}
+}
+
+// check closes the connection if calls wait and nothing has been received.
+func (l *link) check(now time.Time) {
+	if l.waiting.Load() == 0 {
+		l.received.Store(now.UnixNano())
+		return
+	}
+	silence := now.Sub(time.Unix(0, l.received.Load()))
+	switch {
+	case silence > silentAfter:
+		l.mesh.count("peer_silent_connections_total")
+		l.mesh.Log.WithField("peer", l.vm).Warn("closing silent connection")
+		l.close()
+	case silence > pingAfter:
+		_, _ = l.conn.DispatchCall(context.Background(), methodPing, struct{}{})
+	}
+}
+
+func (l *link) onReceive(*jsonrpc2.Request, *jsonrpc2.Response) {
+	l.received.Store(l.mesh.Clock.Now().UnixNano())
+}
+
+// Handle receives the chunks of streamed answers.
+func (l *link) Handle(_ context.Context, _ *jsonrpc2.Conn, request *jsonrpc2.Request) {
+	if request.Method != methodChunk || request.Params == nil {
+		return
+	}
+	var message chunk
+	if json.Unmarshal(*request.Params, &message) != nil {
+		return
+	}
+	l.mutex.Lock()
+	onChunk := l.chunks[message.Call]
+	l.mutex.Unlock()
+	if onChunk != nil {
+		onChunk(message.Data)
+	}
+}
+
+func (l *link) call(ctx context.Context, method string, params, result any, onChunk func(json.RawMessage)) error {
+	body, err := json.Marshal(params)
+	if err != nil {
+		return fault.New(fault.Internal, fault.NotRun, "encode %s: %s", method, err)
+	}
+	number := l.next.Add(1)
+	if onChunk != nil {
+		l.setChunks(number, onChunk)
+		defer l.setChunks(number, nil)
+	}
+	l.waiting.Add(1)
+	defer l.waiting.Add(-1)
+	l.mesh.count("peer_calls_total")
+	message := envelope{From: l.mesh.Self, Call: number, Params: body}
+	waiter, err := l.conn.DispatchCall(ctx, method, message)
+	if err != nil {
+		l.close()
+		return l.sendError(err)
+	}
+	err = waiter.Wait(ctx, result)
+	if err != nil && ctx.Err() != nil {
+		_ = l.conn.Notify(context.Background(), methodCancel, cancel{Call: number})
+		return fault.From(ctx.Err())
+	}
+	return l.answerError(err)
+}
+
+func (l *link) setChunks(number uint64, onChunk func(json.RawMessage)) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if onChunk == nil {
+		delete(l.chunks, number)
+		return
+	}
+	l.chunks[number] = onChunk
+}
+
+// sendError judges a call whose message was not written whole.
+func (l *link) sendError(err error) error {
+	if errors.Is(err, jsonrpc2.ErrClosed) {
+		return fault.New(fault.Unavailable, fault.NotRun, "connection to VM %s is closed", l.vm)
+	}
+	return fault.New(fault.ConnectionLost, fault.MayHaveRun, "send to VM %s: %s", l.vm, err)
+}
+
+func (l *link) answerError(err error) error {
+	var wire *jsonrpc2.Error
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &wire):
+		return decodeError(wire)
+	default:
+		l.close()
+		return fault.New(fault.ConnectionLost, fault.MayHaveRun, "connection to VM %s lost: %s", l.vm, err)
+	}
+}
--- /dev/null
+++ b/peer/session.go
@@ -0,0 +1,120 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"sync"
+
+	"github.com/sourcegraph/jsonrpc2"
+
+	"bergamotworks/fault"
+)
+
+// session is an incoming connection.
+type session struct {
+	mesh   *Mesh
+	stream net.Conn
+	mutex  sync.Mutex
+	calls  map[uint64]context.CancelFunc
+}
+
+// run serves the connection until it ends, then cancels its calls.
+func (s *session) run() {
+	defer s.mesh.running.Done()
+	defer s.mesh.forget(s)
+	conn := jsonrpc2.NewConn(context.Background(), jsonrpc2.NewPlainObjectStream(s.stream), s, jsonrpc2.SetLogger(protocolLog{s.mesh.Log}))
+	<-conn.DisconnectNotify()
+	s.cancelAll()
+}
+
+// Handle starts a call; it returns at once so that later messages are read.
+func (s *session) Handle(ctx context.Context, conn *jsonrpc2.Conn, request *jsonrpc2.Request) {
+	switch request.Method {
+	case methodPing:
+		_ = conn.Reply(ctx, request.ID, struct{}{})
+	case methodCancel:
+		s.cancel(request)
+	default:
+		s.start(conn, request)
+	}
+}
+
+func (s *session) start(conn *jsonrpc2.Conn, request *jsonrpc2.Request) {
+	handler, ok := s.mesh.handlers[request.Method]
+	if !ok {
+		reply := &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "no method " + request.Method}
+		_ = conn.ReplyWithError(context.Background(), request.ID, reply)
+		return
+	}
+	var message envelope
+	if request.Params == nil || json.Unmarshal(*request.Params, &message) != nil {
+		bad := encodeError(fault.BadField("params", "not an envelope"))
+		_ = conn.ReplyWithError(context.Background(), request.ID, bad)
+		return
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	c := &served{session: s, conn: conn, id: request.ID, message: message, handler: handler}
+	s.mutex.Lock()
+	s.calls[message.Call] = cancel
+	s.mutex.Unlock()
+	s.mesh.running.Add(1)
+	go c.run(ctx)
+}
+
+func (s *session) cancel(request *jsonrpc2.Request) {
+	var message cancel
+	if request.Params == nil || json.Unmarshal(*request.Params, &message) != nil {
+		return
+	}
+	s.end(message.Call)
+}
+
+// end cancels the context of a call and forgets the call.
+func (s *session) end(call uint64) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if stop := s.calls[call]; stop != nil {
+		stop()
+		delete(s.calls, call)
+	}
+}
+
+func (s *session) cancelAll() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, stop := range s.calls {
+		stop()
+	}
+	clear(s.calls)
+}
+
+// served is one incoming call.
+type served struct {
+	session *session
+	conn    *jsonrpc2.Conn
+	id      jsonrpc2.ID
+	message envelope
+	handler Handler
+}
+
+// run calls the handler and sends its answer.
+func (c *served) run(ctx context.Context) {
+	defer c.session.mesh.running.Done()
+	defer c.session.end(c.message.Call)
+	incoming := Incoming{From: c.message.From, Params: c.message.Params, Send: c.send}
+	result, err := c.handler(ctx, incoming)
+	if err != nil {
+		_ = c.conn.ReplyWithError(context.Background(), c.id, encodeError(err))
+		return
+	}
+	_ = c.conn.Reply(context.Background(), c.id, result)
+}
+
+func (c *served) send(data any) error {
+	body, err := json.Marshal(data)
+	if err != nil {
+		return err
+	}
+	return c.conn.Notify(context.Background(), methodChunk, chunk{Call: c.message.Call, Data: body})
+}
