Add the in-memory store stand-in with scripted faults

Cause: every slice needs a store that many nodes of one process share and that can be made to fail as the platform's does.

--- /dev/null
+++ b/store/memory.go
@@ -0,0 +1,225 @@
+package store
+
+import (
+	"bytes"
+	"context"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"bergamotworks/fault"
+	"bergamotworks/ports"
+)
+
+// MaxValueBytes is the largest value that the platform holds.
+const MaxValueBytes = 1 << 20
+
+// Memory is a [ports.Store] within the process. The zero value is an empty
+// store that uses the system clock. Clock may be set before the first call.
+type Memory struct {
+	Clock ports.Clock
+
+	mutex    sync.Mutex
+	revision int64
+	entries  map[string]ports.KeyValue
+	log      changeLog
+	leases   map[ports.LeaseID]memoryLease
+	leaseID  ports.LeaseID
+	watchers map[*memoryWatcher]struct{}
+	counts   map[Call]int64
+	written  int64
+}
+
+// Range returns one key, or all keys with a prefix in key order.
+func (m *Memory) Range(ctx context.Context, request ports.RangeRequest) (ports.RangeResponse, error) {
+	if err := ctx.Err(); err != nil {
+		return ports.RangeResponse{}, neverSent(err)
+	}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.begin(CallRange)
+	return find(m.entries, request, m.revision), nil
+}
+
+// RangeAt answers as [Memory.Range] would have done at an older revision. It
+// returns the oldest revision that is still known if the given one is older.
+func (m *Memory) RangeAt(ctx context.Context, request ports.RangeRequest, revision int64) (ports.RangeResponse, error) {
+	if err := ctx.Err(); err != nil {
+		return ports.RangeResponse{}, neverSent(err)
+	}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.begin(CallRange)
+	revision = min(max(revision, m.log.floor), m.revision)
+	return find(m.log.undo(m.entries, revision), request, revision), nil
+}
+
+// Commit applies the operations if all comparisons hold.
+func (m *Memory) Commit(ctx context.Context, txn ports.Txn) (ports.TxnResponse, error) {
+	if err := ctx.Err(); err != nil {
+		return ports.TxnResponse{}, neverSent(err)
+	}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.begin(CallCommit)
+	if err := m.check(txn); err != nil {
+		return ports.TxnResponse{}, err
+	}
+	for _, c := range txn.Compares {
+		if m.entries[c.Key].ModRevision != c.ModRevision {
+			return ports.TxnResponse{Revision: m.revision}, nil
+		}
+	}
+	m.apply(txn.Then)
+	return ports.TxnResponse{Succeeded: true, Revision: m.revision}, nil
+}
+
+// Calls returns the number of calls of a kind so far.
+func (m *Memory) Calls(call Call) int64 {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.counts[call]
+}
+
+// Counts returns the number of calls so far by kind.
+func (m *Memory) Counts() map[Call]int64 {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return maps.Clone(m.counts)
+}
+
+// BytesWritten returns the bytes of all values that were put so far.
+func (m *Memory) BytesWritten() int64 {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.written
+}
+
+// begin counts a call and ends the leases that have lapsed.
+func (m *Memory) begin(call Call) {
+	if m.counts == nil {
+		m.counts = map[Call]int64{}
+		m.entries = map[string]ports.KeyValue{}
+		m.leases = map[ports.LeaseID]memoryLease{}
+		m.watchers = map[*memoryWatcher]struct{}{}
+	}
+	m.counts[call]++
+	m.expire()
+}
+
+func (m *Memory) check(txn ports.Txn) error {
+	seen := map[string]bool{}
+	for _, o := range txn.Then {
+		p, ok := o.(ports.Put)
+		if !ok {
+			continue
+		}
+		if len(p.Value) > MaxValueBytes {
+			return fault.New(fault.TooLarge, fault.NotRun, "value of key %s has %d bytes", p.Key, len(p.Value))
+		}
+		if seen[p.Key] {
+			return fault.New(fault.Invalid, fault.NotRun, "key %s is put twice", p.Key)
+		}
+		if _, ok := m.leases[p.Lease]; p.Lease != 0 && !ok {
+			return fault.New(fault.NotFound, fault.NotRun, "lease %d not found", p.Lease)
+		}
+		seen[p.Key] = true
+	}
+	return nil
+}
+
+// apply runs the operations under one new revision and notifies the watchers.
+func (m *Memory) apply(operations []ports.Op) {
+	revision := m.revision + 1
+	var changes []change
+	for _, o := range operations {
+		switch o := o.(type) {
+		case ports.Put:
+			changes = append(changes, m.put(o, revision))
+		case ports.Delete:
+			changes = append(changes, m.remove(o, revision)...)
+		}
+	}
+	if len(changes) == 0 {
+		return
+	}
+	m.revision = revision
+	m.log.add(changes)
+	for w := range m.watchers {
+		w.deliver(changes)
+	}
+}
+
+func (m *Memory) put(p ports.Put, revision int64) change {
+	before := m.entries[p.Key]
+	after := ports.KeyValue{
+		Key:            p.Key,
+		Value:          bytes.Clone(p.Value),
+		CreateRevision: before.CreateRevision,
+		ModRevision:    revision,
+		Version:        before.Version + 1,
+		Lease:          p.Lease,
+	}
+	if before.ModRevision == 0 {
+		after.CreateRevision = revision
+	}
+	m.entries[p.Key] = after
+	m.written += int64(len(p.Value))
+	return change{revision: revision, before: before, event: ports.WatchEvent{Entry: after}}
+}
+
+func (m *Memory) remove(d ports.Delete, revision int64) []change {
+	found := find(m.entries, ports.RangeRequest{Key: d.Key, Prefix: d.Prefix}, revision)
+	var changes []change
+	for _, e := range found.Entries {
+		gone := ports.KeyValue{Key: e.Key, ModRevision: revision}
+		delete(m.entries, e.Key)
+		changes = append(changes, change{
+			revision: revision,
+			before:   e,
+			event:    ports.WatchEvent{Entry: gone, Deleted: true},
+		})
+	}
+	return changes
+}
+
+func (m *Memory) now() time.Time { return clockOf(m.Clock).Now() }
+
+func find(entries map[string]ports.KeyValue, request ports.RangeRequest, revision int64) ports.RangeResponse {
+	response := ports.RangeResponse{Revision: revision}
+	if !request.Prefix {
+		if e, ok := entries[request.Key]; ok {
+			response.Entries = []ports.KeyValue{clone(e)}
+		}
+		return response
+	}
+	for _, k := range slices.Sorted(maps.Keys(entries)) {
+		if !strings.HasPrefix(k, request.Key) {
+			continue
+		}
+		if request.Limit > 0 && len(response.Entries) == request.Limit {
+			break
+		}
+		response.Entries = append(response.Entries, clone(entries[k]))
+	}
+	return response
+}
+
+func clone(entry ports.KeyValue) ports.KeyValue {
+	entry.Value = bytes.Clone(entry.Value)
+	return entry
+}
+
+func clockOf(clock ports.Clock) ports.Clock {
+	if clock == nil {
+		return ports.SystemClock{}
+	}
+	return clock
+}
+
+// neverSent returns the error of a context that ended before its call was sent.
+func neverSent(err error) error {
+	return fault.From(err).WithVerdict(fault.NotRun)
+}
--- /dev/null
+++ b/store/script_test.go
@@ -0,0 +1,155 @@
+package store
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"bergamotworks/fault"
+	"bergamotworks/ports"
+	"bergamotworks/script"
+)
+
+// step is one call of a script and what it must print.
+type step struct {
+	Do     string        `json:"do"`
+	Key    string        `json:"key"`
+	Value  string        `json:"value"`
+	Bytes  int           `json:"bytes"`
+	If     *int64        `json:"if"`
+	Lease  ports.LeaseID `json:"lease"`
+	WaitMS int64         `json:"wait_ms"`
+	Faults []Fault       `json:"faults"`
+	Want   string        `json:"want"`
+}
+
+type calls struct {
+	Steps  []step         `json:"steps"`
+	Counts map[Call]int64 `json:"counts"`
+}
+
+// bench is a store under test with what a script has opened on it.
+type bench struct {
+	memory   *Memory
+	faults   *Faults
+	watch    ports.Watcher
+	snapshot Snapshot
+}
+
+func TestMemoryAndFaults(t *testing.T) {
+	script.Run(t, "testdata/calls/*.json", func(t *testing.T, data calls) {
+		synctest.Test(t, func(t *testing.T) {
+			m := &Memory{}
+			b := &bench{memory: m, faults: &Faults{Store: m, Random: ports.NewSeededRandom(1)}}
+			for i, s := range data.Steps {
+				if diff := cmp.Diff(s.Want, b.run(t.Context(), s)); diff != "" {
+					t.Errorf("step %d, %s: %s", i, s.Do, diff)
+				}
+			}
+			if diff := cmp.Diff(data.Counts, m.Counts()); data.Counts != nil && diff != "" {
+				t.Error(diff)
+			}
+		})
+	})
+}
+
+func (b *bench) run(ctx context.Context, s step) string {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	switch s.Do {
+	case "put", "delete":
+		return b.commit(ctx, s)
+	case "range", "prefix":
+		return printed(b.faults.Range(ctx, ports.RangeRequest{Key: s.Key, Prefix: s.Do == "prefix"}))
+	case "watch":
+		w, err := b.faults.Watch(ctx, ports.WatchRequest{Prefix: s.Key, FromRevision: int64(s.Bytes)})
+		b.watch = w
+		return verdict("watching", err)
+	case "next":
+		events, err := b.watch.Next(ctx)
+		return verdict(describe(events), err)
+	case "close":
+		return verdict("closed", b.watch.Close())
+	case "grant":
+		lease, err := b.faults.Grant(ctx, time.Duration(s.WaitMS)*time.Millisecond)
+		return verdict(fmt.Sprintf("lease %d", lease), err)
+	case "keep_alive":
+		return verdict("kept", b.faults.KeepAlive(ctx, s.Lease))
+	case "revoke":
+		return verdict("revoked", b.faults.Revoke(ctx, s.Lease))
+	default:
+		return b.control(ctx, s)
+	}
+}
+
+func (b *bench) control(ctx context.Context, s step) string {
+	switch s.Do {
+	case "faults":
+		b.faults.Add(s.Faults...)
+	case "clear":
+		b.faults.Clear()
+	case "release":
+		return fmt.Sprintf("released %d", b.faults.Release(ctx))
+	case "snapshot":
+		b.snapshot = b.memory.Snapshot()
+	case "restore":
+		b.memory.Restore(b.snapshot)
+	case "wait":
+		time.Sleep(time.Duration(s.WaitMS) * time.Millisecond)
+	default:
+		return "unknown step"
+	}
+	return ""
+}
+
+func (b *bench) commit(ctx context.Context, s step) string {
+	txn := ports.Txn{Then: []ports.Op{ports.Put{Key: s.Key, Value: value(s), Lease: s.Lease}}}
+	if s.Do == "delete" {
+		txn.Then = []ports.Op{ports.Delete{Key: s.Key, Prefix: strings.HasSuffix(s.Key, "/")}}
+	}
+	if s.If != nil {
+		txn.Compares = []ports.Compare{{Key: s.Key, ModRevision: *s.If}}
+	}
+	response, err := b.faults.Commit(ctx, txn)
+	return verdict(fmt.Sprintf("%t at %d", response.Succeeded, response.Revision), err)
+}
+
+func value(s step) []byte {
+	if s.Bytes > 0 {
+		return make([]byte, s.Bytes)
+	}
+	return []byte(s.Value)
+}
+
+func printed(response ports.RangeResponse, err error) string {
+	var entries []string
+	for _, e := range response.Entries {
+		entries = append(entries, fmt.Sprintf("%s=%s %d/%d/%d", e.Key, e.Value, e.CreateRevision, e.ModRevision, e.Version))
+	}
+	return verdict(fmt.Sprintf("%s at %d", strings.Join(entries, " "), response.Revision), err)
+}
+
+func describe(events []ports.WatchEvent) string {
+	var parts []string
+	for _, e := range events {
+		if e.Deleted {
+			parts = append(parts, "-"+e.Entry.Key)
+		} else {
+			parts = append(parts, fmt.Sprintf("%s=%s", e.Entry.Key, e.Entry.Value))
+		}
+	}
+	return strings.Join(parts, " ")
+}
+
+func verdict(text string, err error) string {
+	if err == nil {
+		return text
+	}
+	fe := fault.From(err)
+	return fmt.Sprintf("%s, %s", fe.Kind, fe.Verdict)
+}
--- /dev/null
+++ b/store/watch.go
@@ -0,0 +1,125 @@
+package store
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"bergamotworks/fault"
+	"bergamotworks/ports"
+)
+
+// maxPendingEvents bounds the events that wait for a reader; a slower reader
+// loses its watch.
+const maxPendingEvents = 4096
+
+type memoryWatcher struct {
+	memory  *Memory
+	prefix  string
+	pending []ports.WatchEvent
+	lost    error
+	wake    chan struct{}
+}
+
+// Watch reports the changes of the keys with a prefix.
+func (m *Memory) Watch(ctx context.Context, request ports.WatchRequest) (ports.Watcher, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, neverSent(err)
+	}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.begin(CallWatch)
+	w := &memoryWatcher{memory: m, prefix: request.Prefix, wake: make(chan struct{}, 1)}
+	if request.FromRevision > 0 {
+		past, ok := m.log.since(request.FromRevision)
+		if !ok {
+			return nil, fault.New(fault.NotFound, fault.NotRun, "revision %d is no longer known", request.FromRevision)
+		}
+		w.deliver(past)
+	}
+	m.watchers[w] = struct{}{}
+	return w, nil
+}
+
+// Watches returns the number of open watches.
+func (m *Memory) Watches() int {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return len(m.watchers)
+}
+
+// Next waits for the next changes.
+func (w *memoryWatcher) Next(ctx context.Context) ([]ports.WatchEvent, error) {
+	for {
+		events, wait, err := w.take()
+		if err != nil || len(events) > 0 {
+			return events, err
+		}
+		select {
+		case <-ctx.Done():
+			return nil, fault.From(ctx.Err()).WithVerdict(fault.NotRun)
+		case <-w.wake:
+		case <-wait:
+		}
+	}
+}
+
+// take returns the pending events, or a channel that wakes up when a lease lapses.
+func (w *memoryWatcher) take() ([]ports.WatchEvent, <-chan time.Time, error) {
+	m := w.memory
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.expire()
+	if w.lost != nil {
+		return nil, nil, w.lost
+	}
+	if len(w.pending) > 0 {
+		events := w.pending
+		w.pending = nil
+		return events, nil, nil
+	}
+	expiry, ok := m.nextExpiry()
+	if !ok {
+		return nil, nil, nil
+	}
+	return nil, clockOf(m.Clock).After(expiry.Sub(m.now())), nil
+}
+
+// Close ends the watch.
+func (w *memoryWatcher) Close() error {
+	w.memory.mutex.Lock()
+	defer w.memory.mutex.Unlock()
+	w.lose(fault.New(fault.Canceled, fault.NotRun, "watch closed"))
+	return nil
+}
+
+func (w *memoryWatcher) deliver(changes []change) {
+	for _, c := range changes {
+		if !strings.HasPrefix(c.event.Entry.Key, w.prefix) {
+			continue
+		}
+		event := c.event
+		event.Entry = clone(event.Entry)
+		w.pending = append(w.pending, event)
+	}
+	if len(w.pending) > maxPendingEvents {
+		w.lose(fault.New(fault.ConnectionLost, fault.NotRun, "watch fell behind"))
+		return
+	}
+	w.signal()
+}
+
+func (w *memoryWatcher) lose(err error) {
+	if w.lost == nil {
+		w.lost = err
+	}
+	delete(w.memory.watchers, w)
+	w.signal()
+}
+
+func (w *memoryWatcher) signal() {
+	select {
+	case w.wake <- struct{}{}:
+	default:
+	}
+}
