Add the store client, its HTTP stand-in and the call budget

Cause: nodes need the platform's service over the wire, verdicts that can be trusted after a lost answer, and a bound on their calls. Change: store.Client (JSON gateway of etcd v3 by fasthttp, watch stream by net/http, never sends twice), store.Server (same format from any store, closes the connection where the outcome is open), store.Budget (token bucket and metrics by kind of call).

--- a/store/doc.go
+++ b/store/doc.go
@@ -1,5 +1,8 @@
 // Package store gives access to the platform's key-value service.
 //
-// [Memory] is a stand-in within the process, [Faults] wraps any store and makes
-// its calls fail as scripted. Both may be shared by many nodes of one process.
+// [Client] speaks the JSON gateway format of etcd v3 over HTTP, and [Budget]
+// keeps the calls of a node within a rate. For tests and demonstrations
+// [Memory] stands in for the service within the process, [Faults] makes the
+// calls of any store go wrong as scripted, and [Server] serves either of them
+// in the same HTTP format. All of them may be shared by many nodes.
 package store
--- a/store/script_test.go
+++ b/store/script_test.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"golang.org/x/sync/errgroup"
 
 	"bergamotworks/fault"
 	"bergamotworks/ports"
@@ -37,15 +40,55 @@
 type bench struct {
 	memory   *Memory
 	faults   *Faults
+	store    ports.Store
 	watch    ports.Watcher
 	snapshot Snapshot
+	stop     func()
+}
+
+// TestClientAndServer runs the scripts through HTTP, in real time.
+func TestClientAndServer(t *testing.T) {
+	script.Run(t, "testdata/calls_http/*.json", func(t *testing.T, data calls) {
+		m := &Memory{}
+		f := &Faults{Store: m, Random: ports.NewSeededRandom(1)}
+		client, stop := serve(t, f)
+		t.Cleanup(stop)
+		b := &bench{memory: m, faults: f, store: client, stop: stop}
+		for i, s := range data.Steps {
+			if diff := cmp.Diff(s.Want, b.run(t.Context(), s)); diff != "" {
+				t.Errorf("step %d, %s: %s", i, s.Do, diff)
+			}
+		}
+		if diff := cmp.Diff(data.Counts, m.Counts()); data.Counts != nil && diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
+// serve starts a server for a store and returns a client of it.
+func serve(t testing.TB, store ports.Store) (*Client, func()) {
+	t.Helper()
+	s := &Server{Store: store, Network: ports.SystemNetwork{}, Address: "127.0.0.1:0"}
+	address, err := s.Listen()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var group errgroup.Group
+	group.Go(func() error { return s.Run(context.Background()) })
+	c := &Client{Network: ports.SystemNetwork{}, Addresses: []string{address}}
+	return c, sync.OnceFunc(func() {
+		if err := errors.Join(c.Close(), s.Close(), group.Wait()); err != nil {
+			t.Error(err)
+		}
+	})
 }
 
 func TestMemoryAndFaults(t *testing.T) {
 	script.Run(t, "testdata/calls/*.json", func(t *testing.T, data calls) {
 		synctest.Test(t, func(t *testing.T) {
 			m := &Memory{}
-			b := &bench{memory: m, faults: &Faults{Store: m, Random: ports.NewSeededRandom(1)}}
+			f := &Faults{Store: m, Random: ports.NewSeededRandom(1)}
+			b := &bench{memory: m, faults: f, store: f}
 			for i, s := range data.Steps {
 				if diff := cmp.Diff(s.Want, b.run(t.Context(), s)); diff != "" {
 					t.Errorf("step %d, %s: %s", i, s.Do, diff)
@@ -65,9 +108,9 @@
 	case "put", "delete":
 		return b.commit(ctx, s)
 	case "range", "prefix":
-		return printed(b.faults.Range(ctx, ports.RangeRequest{Key: s.Key, Prefix: s.Do == "prefix"}))
+		return printed(b.store.Range(ctx, ports.RangeRequest{Key: s.Key, Prefix: s.Do == "prefix"}))
 	case "watch":
-		w, err := b.faults.Watch(ctx, ports.WatchRequest{Prefix: s.Key, FromRevision: int64(s.Bytes)})
+		w, err := b.store.Watch(ctx, ports.WatchRequest{Prefix: s.Key, FromRevision: int64(s.Bytes)})
 		b.watch = w
 		return verdict("watching", err)
 	case "next":
@@ -76,12 +119,12 @@
 	case "close":
 		return verdict("closed", b.watch.Close())
 	case "grant":
-		lease, err := b.faults.Grant(ctx, time.Duration(s.WaitMS)*time.Millisecond)
+		lease, err := b.store.Grant(ctx, time.Duration(s.WaitMS)*time.Millisecond)
 		return verdict(fmt.Sprintf("lease %d", lease), err)
 	case "keep_alive":
-		return verdict("kept", b.faults.KeepAlive(ctx, s.Lease))
+		return verdict("kept", b.store.KeepAlive(ctx, s.Lease))
 	case "revoke":
-		return verdict("revoked", b.faults.Revoke(ctx, s.Lease))
+		return verdict("revoked", b.store.Revoke(ctx, s.Lease))
 	default:
 		return b.control(ctx, s)
 	}
@@ -99,6 +142,8 @@
 		b.snapshot = b.memory.Snapshot()
 	case "restore":
 		b.memory.Restore(b.snapshot)
+	case "stop":
+		b.stop()
 	case "wait":
 		time.Sleep(time.Duration(s.WaitMS) * time.Millisecond)
 	default:
@@ -115,7 +160,7 @@
 	if s.If != nil {
 		txn.Compares = []ports.Compare{{Key: s.Key, ModRevision: *s.If}}
 	}
-	response, err := b.faults.Commit(ctx, txn)
+	response, err := b.store.Commit(ctx, txn)
 	return verdict(fmt.Sprintf("%t at %d", response.Succeeded, response.Revision), err)
 }
 
