--- /dev/null
+++ b/ledger/decide.go
@@ -0,0 +1,132 @@
+package ledger
+
+// decision is what an operation leads to: an answer now, or a record to write
+// and the answer once it is written.
+type decision struct {
+	answer Answer
+	write  bool
+	record Record
+}
+
+func answered(outcome Outcome, record Record) decision {
+	return decision{answer: Answer{Outcome: outcome, Record: record}}
+}
+
+func written(outcome Outcome, record Record) decision {
+	return decision{answer: Answer{Outcome: outcome, Record: record}, write: true, record: record}
+}
+
+// answer returns the answer to a waiter if it can be given without a write.
+func (s *Shard) answer(w *waiter) (Answer, bool) {
+	if !s.journal.loaded || w.fresh {
+		return Answer{}, false
+	}
+	d := s.decide(w.op, 0)
+	if d.write {
+		return Answer{}, false
+	}
+	if !w.checked && s.doubtful(w.op, d.answer) {
+		w.fresh = true
+		return Answer{}, false
+	}
+	return s.journal.locate(s.Index, d.answer), true
+}
+
+// doubtful reports whether an answer without a write could be better if the
+// journal has moved on since it was read.
+func (s *Shard) doubtful(op Op, a Answer) bool {
+	switch op.(type) {
+	case Complete:
+		return a.Outcome != Stored
+	case Lookup:
+		return a.Outcome == Absent || a.Record.State != Completed
+	case Create:
+		pending := a.Outcome == Existing && a.Record.State == Pending
+		return pending && s.failures == 0 && s.now.Sub(s.seenAt) > seenPeriod
+	}
+	return false
+}
+
+// decide judges an operation by the journal as it was read or written last.
+// A decision to write is final only once its compare-and-swap is applied.
+// The answers to Create and Withdraw without a write stay true if the journal
+// has moved on: a record that was pending may have run, a completed one stays
+// so, and the floor only rises.
+func (s *Shard) decide(op Op, nowMS int64) decision {
+	record, found := s.journal.find(op.subject().Key)
+	switch o := op.(type) {
+	case Create:
+		return s.decideCreate(o, record, found, nowMS)
+	case Complete:
+		return s.decideComplete(o, record, found, nowMS)
+	case Withdraw:
+		return s.decideWithdraw(o, record, found, nowMS)
+	}
+	if !found {
+		return answered(Absent, Record{})
+	}
+	return answered(Existing, record)
+}
+
+func (s *Shard) decideCreate(c Create, record Record, found bool, nowMS int64) decision {
+	if found && record.State == Withdrawn && record.Token == c.Token {
+		return answered(Revoked, record)
+	}
+	if found && record.State != Withdrawn {
+		return existing(c, record)
+	}
+	if c.CreatedMS <= s.journal.head.FloorMS {
+		return answered(TooOld, Record{})
+	}
+	return written(Created, c.record(Pending, nowMS))
+}
+
+func existing(c Create, record Record) decision {
+	switch {
+	case record.Token == c.Token:
+		return answered(Created, record)
+	case record.Fingerprint != c.Fingerprint:
+		return answered(Reused, record)
+	}
+	return answered(Existing, record)
+}
+
+// decideComplete records a result also where no record is found: the writer
+// may have read an old journal, and then its compare-and-swap fails.
+func (s *Shard) decideComplete(c Complete, record Record, found bool, nowMS int64) decision {
+	if !found && c.CreatedMS <= s.journal.head.FloorMS {
+		return answered(TooOld, Record{})
+	}
+	if found && record.Token != c.Token {
+		return answered(Superseded, record)
+	}
+	if found && record.State == Withdrawn {
+		return answered(Revoked, record)
+	}
+	if found && record.State == Completed {
+		return answered(Stored, record)
+	}
+	completed := c.record(Completed, nowMS)
+	if len(c.Result) > maxInlineBytes {
+		return written(Stored, completed.WithResult(nil, resultKey(s.Index, c.Token)))
+	}
+	return written(Stored, completed.WithResult(c.Result, ""))
+}
+
+// decideWithdraw writes a withdrawn record also where none is found, so that a
+// delayed [Create] of the same token is refused.
+func (s *Shard) decideWithdraw(w Withdraw, record Record, found bool, nowMS int64) decision {
+	if !found && w.CreatedMS <= s.journal.head.FloorMS {
+		return answered(Removed, Record{})
+	}
+	if found && record.Token != w.Token && record.State != Withdrawn {
+		return answered(Removed, Record{})
+	}
+	if found && record.Token == w.Token && record.State == Completed {
+		return answered(Finished, record)
+	}
+	if found && record.Token == w.Token && record.State == Withdrawn {
+		return answered(Removed, record)
+	}
+	return written(Removed, w.record(Withdrawn, nowMS))
+}
--- /dev/null
+++ b/ledger/driver.go
@@ -0,0 +1,277 @@
+package ledger
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"bergamotworks/fault"
+	"bergamotworks/ports"
+)
+
+const (
+	// storeTimeout bounds one call to the store.
+	storeTimeout = 2 * time.Second
+	// tickInterval is the time between two checks of the retention.
+	tickInterval = time.Second
+	// inboxLength is the number of events that a driver takes in without waiting.
+	inboxLength = 256
+)
+
+// driver feeds one shard with events and carries out its actions.
+type driver struct {
+	service *Service
+	shard   *Shard
+	inbox   chan message
+	waiters map[uint64]chan Reply
+	ids     atomic.Uint64
+	group   errgroup.Group // The calls to the store that are under way.
+	flushes []chan struct{}
+	wakeNS  int64
+	wake    <-chan time.Time
+}
+
+// message is an event with the channel for its reply, or a wish to be told
+// when the shard is idle.
+type message struct {
+	event Event
+	reply chan Reply
+	idle  chan struct{}
+}
+
+func newDriver(s *Service, shard int) *driver {
+	return &driver{
+		service: s,
+		shard:   &Shard{Index: shard, Interval: s.Interval},
+		inbox:   make(chan message, inboxLength),
+		waiters: make(map[uint64]chan Reply),
+	}
+}
+
+// submit waits for the answer to an operation. An error's verdict is NotRun
+// only if the operation is in no commit that may take effect.
+func (d *driver) submit(ctx context.Context, op Op, fresh bool) (Answer, error) {
+	id := d.ids.Add(1)
+	reply := make(chan Reply, 1)
+	select {
+	case d.inbox <- message{event: Submitted{ID: id, Op: op, Fresh: fresh}, reply: reply}:
+	case <-ctx.Done():
+		return Answer{}, expiredError(fault.NotRun)
+	case <-d.service.ended:
+		return Answer{}, closedError(fault.NotRun)
+	}
+	select {
+	case r := <-reply:
+		return r.unpack()
+	case <-d.service.ended:
+		return Answer{}, closedError(fault.MayHaveRun)
+	case <-ctx.Done():
+	}
+	return d.expire(id, reply)
+}
+
+func (d *driver) expire(id uint64, reply chan Reply) (Answer, error) {
+	select {
+	case d.inbox <- message{event: Expired{ID: id}}:
+	case r := <-reply:
+		return r.unpack()
+	case <-d.service.ended:
+		return Answer{}, closedError(fault.MayHaveRun)
+	}
+	select {
+	case r := <-reply:
+		return r.unpack()
+	case <-d.service.ended:
+		return Answer{}, closedError(fault.MayHaveRun)
+	}
+}
+
+func (r Reply) unpack() (Answer, error) {
+	if r.Err != nil {
+		return Answer{}, r.Err
+	}
+	return r.Answer, nil
+}
+
+func closedError(verdict fault.Verdict) *fault.Error {
+	return fault.New(fault.Unavailable, verdict, "the ledger is closed")
+}
+
+// flush waits until the shard is idle.
+func (d *driver) flush(ctx context.Context) error {
+	idle := make(chan struct{})
+	select {
+	case d.inbox <- message{idle: idle}:
+	case <-ctx.Done():
+		return fault.From(ctx.Err())
+	case <-d.service.ended:
+		return closedError(fault.MayHaveRun)
+	}
+	select {
+	case <-idle:
+		return nil
+	case <-ctx.Done():
+		return fault.From(ctx.Err())
+	case <-d.service.ended:
+		return closedError(fault.MayHaveRun)
+	}
+}
+
+// loop returns the function that takes messages until the context ends.
+func (d *driver) loop(ctx context.Context) func() error {
+	return func() error {
+		d.tick(ctx)
+		tick := d.service.Clock.After(tickInterval)
+		for {
+			select {
+			case <-ctx.Done():
+				return d.group.Wait()
+			case m := <-d.inbox:
+				d.take(ctx, m)
+			case <-d.wake:
+				d.wake, d.wakeNS = nil, 0
+				d.step(ctx, Woken{})
+			case <-tick:
+				d.tick(ctx)
+				tick = d.service.Clock.After(tickInterval)
+			}
+			d.notifyIdle()
+		}
+	}
+}
+
+func (d *driver) take(ctx context.Context, m message) {
+	if m.idle != nil {
+		d.flushes = append(d.flushes, m.idle)
+		return
+	}
+	if e, ok := m.event.(Submitted); ok {
+		d.waiters[e.ID] = m.reply
+	}
+	d.step(ctx, m.event)
+}
+
+func (d *driver) notifyIdle() {
+	if !d.shard.Idle() {
+		return
+	}
+	for _, f := range d.flushes {
+		close(f)
+	}
+	d.flushes = nil
+}
+
+// tick tells the shard what may be dropped, if this node is its writer.
+func (d *driver) tick(ctx context.Context) {
+	var cutoff int64
+	if _, local := d.service.writer(d.shard.Index); local {
+		cutoff = d.service.Clock.Now().UnixMilli() - d.service.Limits().RetentionMS
+	}
+	d.step(ctx, Ticked{CutoffMS: cutoff})
+}
+
+func (d *driver) step(ctx context.Context, event Event) {
+	for _, action := range d.shard.Step(d.service.Clock.Now(), event) {
+		d.act(ctx, action)
+	}
+}
+
+func (d *driver) act(ctx context.Context, action Action) {
+	switch a := action.(type) {
+	case Load:
+		d.group.Go(d.runLoad(ctx, a))
+	case Commit:
+		d.group.Go(d.runCommit(ctx, a))
+	case Wait:
+		d.wait(a.UntilNS)
+	case Reply:
+		if reply, ok := d.waiters[a.ID]; ok {
+			delete(d.waiters, a.ID)
+			reply <- a
+		}
+	}
+}
+
+func (d *driver) wait(untilNS int64) {
+	if d.wakeNS != 0 && d.wakeNS <= untilNS {
+		return
+	}
+	d.wakeNS = untilNS
+	d.wake = d.service.Clock.After(time.Duration(untilNS - d.service.Clock.Now().UnixNano()))
+}
+
+func (d *driver) post(ctx context.Context, event Event) {
+	select {
+	case d.inbox <- message{event: event}:
+	case <-ctx.Done():
+	}
+}
+
+// runLoad returns the function that reads the keys of a [Load].
+func (d *driver) runLoad(ctx context.Context, a Load) func() error {
+	return func() error {
+		var e Loaded
+		for _, k := range a.Keys {
+			found, err := d.read(ctx, k)
+			if err != nil {
+				e = Loaded{Err: err}
+				break
+			}
+			e.Entries = append(e.Entries, found.Entries...)
+		}
+		d.service.count("ledger_loads_total", d.shard.Index).Inc()
+		d.post(ctx, e)
+		return nil
+	}
+}
+
+func (d *driver) read(ctx context.Context, key string) (ports.RangeResponse, error) {
+	ctx, stop := context.WithTimeout(ctx, storeTimeout)
+	defer stop()
+	return d.service.Store.Range(ctx, ports.RangeRequest{Key: key})
+}
+
+// runCommit returns the function that sends the transaction of a [Commit].
+func (d *driver) runCommit(ctx context.Context, a Commit) func() error {
+	return func() error {
+		callCtx, stop := context.WithTimeout(ctx, storeTimeout)
+		defer stop()
+		answer, err := d.service.Store.Commit(callCtx, a.Txn)
+		e := committed(answer, err)
+		d.record(a, e, err)
+		d.post(ctx, e)
+		return nil
+	}
+}
+
+func committed(answer ports.TxnResponse, err error) Committed {
+	var fe *fault.Error
+	switch {
+	case err == nil && answer.Succeeded:
+		return Committed{Result: Applied, Revision: answer.Revision}
+	case err == nil:
+		return Committed{Result: Outrun}
+	case errors.As(err, &fe) && fe.Verdict == fault.NotRun:
+		return Committed{Result: Refused}
+	}
+	return Committed{Result: Unknown}
+}
+
+func (d *driver) record(a Commit, e Committed, err error) {
+	s := d.service
+	s.count("ledger_commits_total", d.shard.Index).Inc()
+	for _, op := range a.Txn.Then {
+		if p, ok := op.(ports.Put); ok {
+			s.count("ledger_written_bytes_total", d.shard.Index).Add(len(p.Value))
+		}
+	}
+	if e.Result == Applied {
+		return
+	}
+	s.count("ledger_commits_"+e.Result.String()+"_total", d.shard.Index).Inc()
+	s.Log.WithError(err).WithField("shard", d.shard.Index).
+		WithField("result", e.Result.String()).Debug("ledger commit not applied")
+}
--- /dev/null
+++ b/ledger/key.go
@@ -0,0 +1,85 @@
+package ledger
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+
+	"bergamotworks/fault"
+)
+
+// Longest accepted parts of a key, in bytes.
+const (
+	maxAccountBytes     = 128
+	maxIDBytes          = 200
+	maxStageBytes       = 128
+	maxFingerprintBytes = 64
+)
+
+// Key names one stage call of one client account.
+type Key struct {
+	_ struct{} `cbor:",toarray"`
+	// Account is the client account.
+	Account string `json:"account"`
+	// ID is the idempotency key that the account gave.
+	ID string `json:"id"`
+	// Stage is the stage's name.
+	Stage string `json:"stage"`
+}
+
+// Shard returns the shard of the key among the given number of shards.
+func (k Key) Shard(shards int) int {
+	d := xxhash.New()
+	for _, p := range []string{k.Account, k.ID, k.Stage} {
+		_, _ = d.WriteString(strconv.Itoa(len(p)))
+		_, _ = d.WriteString(":")
+		_, _ = d.WriteString(p)
+	}
+	return int(d.Sum64() % uint64(shards))
+}
+
+func (k Key) check() error {
+	switch {
+	case k.Account == "" || len(k.Account) > maxAccountBytes:
+		return fault.BadField("account", "must have 1 to %d bytes", maxAccountBytes)
+	case k.ID == "" || len(k.ID) > maxIDBytes:
+		return fault.BadField("idempotency_key", "must have 1 to %d bytes", maxIDBytes)
+	case k.Stage == "" || len(k.Stage) > maxStageBytes:
+		return fault.BadField("stage", "must have 1 to %d bytes", maxStageBytes)
+	}
+	return nil
+}
+
+// KeyTime returns the creation time of an idempotency key: the given header
+// (RFC 3339 or Unix milliseconds) if there is one, otherwise the time within a
+// UUID of version 7. A key without a time is refused, because an old repeat
+// of it could not be told from new work.
+func KeyTime(idempotencyKey, createdHeader string) (time.Time, error) {
+	if createdHeader != "" {
+		return headerTime(createdHeader)
+	}
+	id, err := uuid.Parse(idempotencyKey)
+	if err != nil || id.Version() != 7 {
+		return time.Time{}, fault.BadField("idempotency_key",
+			"must be a UUID of version 7, or come with its creation time")
+	}
+	var ms int64
+	for _, b := range id[:6] {
+		ms = ms<<8 | int64(b)
+	}
+	return time.UnixMilli(ms), nil
+}
+
+func headerTime(text string) (time.Time, error) {
+	if ms, err := strconv.ParseInt(text, 10, 64); err == nil && ms > 0 {
+		return time.UnixMilli(ms), nil
+	}
+	t, err := time.Parse(time.RFC3339Nano, text)
+	if err != nil {
+		return time.Time{}, fault.BadField("idempotency_key_created",
+			"must be a time in RFC 3339 or in Unix milliseconds")
+	}
+	return t, nil
+}
