--- /dev/null
+++ b/note/apply.go
@@ -0,0 +1,147 @@
+package note
+
+import (
+	"errors"
+	"maps"
+	"slices"
+	"strings"
+
+	"bergamotworks/fault"
+)
+
+// Apply returns the configuration that a release note makes of another one, as
+// the next revision. It checks the note and the whole result: what is added
+// must be new, what is changed or withdrawn must exist, and no name may stand
+// twice in the note. Errors are of kind fault.Invalid, say NotRun and name the
+// path in the note, or in the configuration if the note only breaks a
+// reference there.
+//
+// Neither argument is changed; the result shares the objects that stay.
+func Apply(config Config, n Note) (Config, error) {
+	if !namePattern.MatchString(n.ID) {
+		return Config{}, fault.BadField("id", "%q is no valid name", n.ID)
+	}
+	sections, err := merge(config.Sections, n)
+	if err != nil {
+		return Config{}, err
+	}
+	result := config.WithSections(sections).WithRevision(config.Revision+1, n.ID)
+	if err := Check(result); err != nil {
+		return Config{}, located(err, n)
+	}
+	return result, nil
+}
+
+func merge(s Sections, n Note) (Sections, error) {
+	var errs [9]error
+	a, c, w := n.Added, n.Changed, n.Withdrawn
+	s.Domains, errs[0] = mergeMap("domains", s.Domains, a.Domains, c.Domains, w.Domains)
+	s.Services, errs[1] = mergeMap("services", s.Services, a.Services, c.Services, w.Services)
+	s.Targets, errs[2] = mergeMap("targets", s.Targets, a.Targets, c.Targets, w.Targets)
+	s.Pipelines, errs[3] = mergeMap("pipelines", s.Pipelines, a.Pipelines, c.Pipelines, w.Pipelines)
+	s.Classes, errs[4] = mergeMap("classes", s.Classes, a.Classes, c.Classes, w.Classes)
+	s.Accounts, errs[5] = mergeMap("accounts", s.Accounts, a.Accounts, c.Accounts, w.Accounts)
+	s.Objectives, errs[6] = mergeMap("objectives", s.Objectives, a.Objectives, c.Objectives, w.Objectives)
+	s.Orders, errs[7] = mergeMap("orders", s.Orders, a.Orders, c.Orders, w.Orders)
+	s.Limits, errs[8] = mergeMap("limits", s.Limits, a.Limits, c.Limits, w.Limits)
+	return s, first(errs[:]...)
+}
+
+func mergeMap[T any](section string, base, added, changed map[string]T, withdrawn []string) (map[string]T, error) {
+	result := maps.Clone(base)
+	if result == nil {
+		result = map[string]T{}
+	}
+	for _, name := range slices.Sorted(maps.Keys(added)) {
+		if _, ok := base[name]; ok {
+			return nil, fault.BadField("added."+join(section, name), "exists already")
+		}
+		if !namePattern.MatchString(name) {
+			return nil, fault.BadField("added."+section, "%q is no valid name", name)
+		}
+		result[name] = added[name]
+	}
+	for _, name := range slices.Sorted(maps.Keys(changed)) {
+		path := "changed." + join(section, name)
+		if _, ok := added[name]; ok {
+			return nil, fault.BadField(path, "is also added")
+		}
+		if _, ok := base[name]; !ok {
+			return nil, fault.BadField(path, "does not exist")
+		}
+		result[name] = changed[name]
+	}
+	for i, name := range withdrawn {
+		if err := withdraw(section, name, base, added, changed, withdrawn[:i]); err != nil {
+			return nil, err
+		}
+		delete(result, name)
+	}
+	if len(result) == 0 {
+		return nil, nil
+	}
+	return result, nil
+}
+
+func withdraw[T any](section, name string, base, added, changed map[string]T, earlier []string) error {
+	path := "withdrawn." + join(section, name)
+	if _, ok := added[name]; ok {
+		return fault.BadField(path, "is also added")
+	}
+	if _, ok := changed[name]; ok {
+		return fault.BadField(path, "is also changed")
+	}
+	if slices.Contains(earlier, name) {
+		return fault.BadField(path, "is withdrawn twice")
+	}
+	if _, ok := base[name]; !ok {
+		return fault.BadField(path, "does not exist")
+	}
+	return nil
+}
+
+// located puts the part of the note before the path of an error, if the object
+// at fault stands in the note.
+func located(err error, n Note) error {
+	var fe *fault.Error
+	if !errors.As(err, &fe) {
+		return err
+	}
+	parts := strings.SplitN(fe.Field, ".", 3)
+	if len(parts) < 2 {
+		return err
+	}
+	if n.Added.has(parts[0], parts[1]) {
+		return fe.WithField("added." + fe.Field)
+	}
+	if n.Changed.has(parts[0], parts[1]) {
+		return fe.WithField("changed." + fe.Field)
+	}
+	return err
+}
+
+// has reports whether an object of that name stands in the section.
+func (s Sections) has(section, name string) bool {
+	var ok bool
+	switch section {
+	case "domains":
+		_, ok = s.Domains[name]
+	case "services":
+		_, ok = s.Services[name]
+	case "targets":
+		_, ok = s.Targets[name]
+	case "pipelines":
+		_, ok = s.Pipelines[name]
+	case "classes":
+		_, ok = s.Classes[name]
+	case "accounts":
+		_, ok = s.Accounts[name]
+	case "objectives":
+		_, ok = s.Objectives[name]
+	case "orders":
+		_, ok = s.Orders[name]
+	case "limits":
+		_, ok = s.Limits[name]
+	}
+	return ok
+}
--- /dev/null
+++ b/note/check.go
@@ -0,0 +1,183 @@
+package note
+
+import (
+	"maps"
+	"net/netip"
+	"regexp"
+	"slices"
+	"time"
+
+	"bergamotworks/fault"
+)
+
+const (
+	maxStages       = 6
+	maxLimit        = 4096
+	maxTokens       = 1 << 17
+	maxPriority     = 100
+	maxWeight       = 1000
+	maxDeadlineMS   = int64(7 * 24 * time.Hour / time.Millisecond)
+	maxDomainDelay  = 10000 // Milliseconds.
+	maxWarmUpCalls  = 1 << 20
+	shareTolerance  = 1e-9
+	minBodyBytes    = 1 << 10
+	maxBodyBytes    = 64 << 20
+	maxRetentionMS  = int64(24 * time.Hour / time.Millisecond)
+	maxClockSkewMS  = int64(time.Hour / time.Millisecond)
+	maxStoreCalls   = 100000
+	maxShards       = 64
+	maxWeightLoads  = 100000
+	minRetentionMS  = 1000
+	systemLimits    = "system"
+	keyHashPattern  = `^[0-9a-f]{64}$`
+	nameCharPattern = `^[A-Za-z0-9][A-Za-z0-9_-]{0,62}$`
+)
+
+// A name has 1 to 63 letters, digits, hyphens or underscores and starts with a
+// letter or digit.
+var (
+	namePattern = regexp.MustCompile(nameCharPattern)
+	keyPattern  = regexp.MustCompile(keyHashPattern)
+)
+
+// Check returns the first fault of a configuration, in the order of its
+// sections and names. The error is of kind fault.Invalid and names the path.
+func Check(config Config) error {
+	s := config.Sections
+	checks := []func() error{
+		func() error { return each("domains", s.Domains, checkDomain) },
+		func() error { return each("services", s.Services, checkService) },
+		func() error { return each("targets", s.Targets, s.checkTarget) },
+		s.checkAddresses,
+		func() error { return each("classes", s.Classes, checkClass) },
+		s.checkShares,
+		func() error { return each("pipelines", s.Pipelines, s.checkPipeline) },
+		func() error { return each("accounts", s.Accounts, checkAccount) },
+		func() error { return each("objectives", s.Objectives, s.checkObjective) },
+		func() error { return each("orders", s.Orders, s.checkOrder) },
+		func() error { return each("limits", s.Limits, checkLimits) },
+	}
+	for _, check := range checks {
+		if err := check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// each checks the objects of one section in the order of their names.
+func each[T any](section string, objects map[string]T, check func(path string, object T) error) error {
+	for _, name := range slices.Sorted(maps.Keys(objects)) {
+		if !namePattern.MatchString(name) {
+			return fault.BadField(section, "%q is no valid name", name)
+		}
+		if err := check(join(section, name), objects[name]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func checkDomain(path string, d FailureDomain) error {
+	if d.State != InService && d.State != OutOfService {
+		return fault.BadField(join(path, "state"), "a failure domain is in_service or out_of_service")
+	}
+	return within(join(path, "delay_ms"), d.DelayMS, 0, maxDomainDelay)
+}
+
+func checkService(path string, s Service) error {
+	if !s.Kind.IsAStageKind() {
+		return fault.BadField(join(path, "kind"), "unknown kind")
+	}
+	if s.Kind == Generate && s.Model == "" {
+		return fault.BadField(join(path, "model"), "missing for a generate service")
+	}
+	return first(
+		within(join(path, "warm_limit"), s.WarmLimit, 1, maxLimit),
+		within(join(path, "cold_limit"), s.ColdLimit, 1, s.WarmLimit),
+		within(join(path, "typical_ms"), s.TypicalMS, 1, maxDeadlineMS),
+		within(join(path, "warm_up_calls"), s.WarmUpCalls, 0, maxWarmUpCalls),
+		within(join(path, "idle_cold_ms"), s.IdleColdMS, 0, maxDeadlineMS),
+	)
+}
+
+func (s Sections) checkTarget(path string, t Target) error {
+	if !t.State.IsAState() {
+		return fault.BadField(join(path, "state"), "unknown state")
+	}
+	address, err := netip.ParseAddrPort(t.Address)
+	if err != nil || address.Port() == 0 || address.Addr().IsUnspecified() {
+		return fault.BadField(join(path, "address"), "%q is no IP number with a port", t.Address)
+	}
+	return first(
+		known(join(path, "service"), "service", t.Service, s.Services),
+		known(join(path, "domain"), "failure domain", t.Domain, s.Domains),
+	)
+}
+
+// checkAddresses finds two targets at one address.
+func (s Sections) checkAddresses() error {
+	owners := map[string]string{}
+	for _, name := range slices.Sorted(maps.Keys(s.Targets)) {
+		address := s.Targets[name].Address
+		if owner, ok := owners[address]; ok {
+			return fault.BadField("targets."+name+".address", "%s is the address of target %s", address, owner)
+		}
+		owners[address] = name
+	}
+	return nil
+}
+
+func checkClass(path string, c Class) error {
+	return first(
+		within(join(path, "priority"), c.Priority, 0, maxPriority),
+		within(join(path, "share"), c.Share, 0, 1),
+	)
+}
+
+func (s Sections) checkShares() error {
+	sum := 0.0
+	for _, name := range slices.Sorted(maps.Keys(s.Classes)) {
+		sum += s.Classes[name].Share
+		if sum > 1+shareTolerance {
+			return fault.BadField("classes."+name+".share", "the shares of all classes exceed 1")
+		}
+	}
+	return nil
+}
+
+func checkAccount(path string, a ClientAccount) error {
+	if a.Weight <= 0 || a.Weight > maxWeight {
+		return fault.BadField(join(path, "weight"), "must be above 0 and at most %d", maxWeight)
+	}
+	if a.KeyHash != "" && !keyPattern.MatchString(a.KeyHash) {
+		return fault.BadField(join(path, "key_hash"), "want 64 lower-case hexadecimal digits")
+	}
+	return nil
+}
+
+func within[T int | int64 | float64](path string, value, low, high T) error {
+	if value >= low && value <= high {
+		return nil
+	}
+	return fault.BadField(path, "must be from %v to %v", low, high)
+}
+
+func known[T any](path, kind, name string, objects map[string]T) error {
+	if name == "" {
+		return fault.BadField(path, "missing")
+	}
+	if _, ok := objects[name]; !ok {
+		return fault.BadField(path, "%s %q does not exist", kind, name)
+	}
+	return nil
+}
+
+func first(errs ...error) error {
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/note/checkwork.go
@@ -0,0 +1,113 @@
+package note
+
+import (
+	"fmt"
+
+	"bergamotworks/fault"
+)
+
+func (s Sections) checkPipeline(path string, p Pipeline) error {
+	if err := first(
+		known(join(path, "class"), "class", p.Class, s.Classes),
+		within(join(path, "deadline_ms"), p.DeadlineMS, 1, maxDeadlineMS),
+		within(join(path, "stages"), len(p.Stages), 1, maxStages),
+	); err != nil {
+		return err
+	}
+	names := map[string]bool{}
+	for i, stage := range p.Stages {
+		place := fmt.Sprintf("%s.stages[%d]", path, i)
+		if err := s.checkStage(place, stage); err != nil {
+			return err
+		}
+		if names[stage.Name] {
+			return fault.BadField(join(place, "name"), "%q is the name of an earlier stage", stage.Name)
+		}
+		names[stage.Name] = true
+	}
+	return nil
+}
+
+func (s Sections) checkStage(path string, stage Stage) error {
+	if !namePattern.MatchString(stage.Name) {
+		return fault.BadField(join(path, "name"), "%q is no valid name", stage.Name)
+	}
+	if err := known(join(path, "service"), "service", stage.Service, s.Services); err != nil {
+		return err
+	}
+	if s.Services[stage.Service].Kind == Generate {
+		return within(join(path, "max_tokens"), stage.MaxTokens, 1, maxTokens)
+	}
+	if stage.MaxTokens != 0 {
+		return fault.BadField(join(path, "max_tokens"), "only for a generate service")
+	}
+	return nil
+}
+
+func (s Sections) checkObjective(path string, o Objective) error {
+	if (o.Pipeline == "") == (o.Class == "") {
+		return fault.BadField(path, "name either a pipeline or a class")
+	}
+	if o.Pipeline != "" {
+		if err := known(join(path, "pipeline"), "pipeline", o.Pipeline, s.Pipelines); err != nil {
+			return err
+		}
+	}
+	if o.Class != "" {
+		if err := known(join(path, "class"), "class", o.Class, s.Classes); err != nil {
+			return err
+		}
+	}
+	if o.Attainment <= 0 || o.Attainment >= 1 {
+		return fault.BadField(join(path, "attainment"), "must be above 0 and below 1")
+	}
+	return within(join(path, "latency_ms"), o.LatencyMS, 0, maxDeadlineMS)
+}
+
+func (s Sections) checkOrder(path string, o EngineOrder) error {
+	if !o.Kind.IsAOrderKind() {
+		return fault.BadField(join(path, "kind"), "unknown kind")
+	}
+	if o.Subject == "" {
+		return fault.BadField(join(path, "subject"), "missing")
+	}
+	if err := known(join(path, "service"), "service", o.Service, s.Services); err != nil {
+		return err
+	}
+	if s.Services[o.Service].Kind != Generate {
+		return fault.BadField(join(path, "service"), "service %q has no model engines", o.Service)
+	}
+	if o.Target == "" {
+		return nil
+	}
+	if err := known(join(path, "target"), "target", o.Target, s.Targets); err != nil {
+		return err
+	}
+	if s.Targets[o.Target].Service != o.Service {
+		return fault.BadField(join(path, "target"), "target %q belongs to another service", o.Target)
+	}
+	return nil
+}
+
+// checkLimits checks the limits; zero stands for the default.
+func checkLimits(path string, l Limits) error {
+	if path != join("limits", systemLimits) {
+		return fault.BadField(path, "the only name is %q", systemLimits)
+	}
+	return first(
+		zeroOr(join(path, "max_body_bytes"), l.MaxBodyBytes, minBodyBytes, maxBodyBytes),
+		zeroOr(join(path, "retention_ms"), l.RetentionMS, minRetentionMS, maxRetentionMS),
+		zeroOr(join(path, "clock_skew_ms"), l.ClockSkewMS, 1, maxClockSkewMS),
+		zeroOr(join(path, "retry_share"), l.RetryShare, 0, 1),
+		zeroOr(join(path, "store_calls_per_second"), l.StoreCallsPerSecond, 1, maxStoreCalls),
+		zeroOr(join(path, "ledger_shards"), l.LedgerShards, 1, maxShards),
+		zeroOr(join(path, "weight_loads_per_minute"), l.WeightLoadsPerMinute, 1, maxWeightLoads),
+	)
+}
+
+func zeroOr[T int | int64 | float64](path string, value, low, high T) error {
+	if value == 0 {
+		return nil
+	}
+	return within(path, value, low, high)
+}
--- /dev/null
+++ b/note/decode.go
@@ -0,0 +1,201 @@
+package note
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"reflect"
+	"strings"
+
+	"bergamotworks/fault"
+)
+
+// MaxNoteBytes bounds the text of a release note.
+const MaxNoteBytes = 8 << 20
+
+// Decode reads a release note. A field that is unknown, missing, repeated or of
+// the wrong type gives a fault.Invalid error that names its JSON path.
+//
+// Fields without omitempty are required, except the sections of a note, the
+// limits and states, which have defaults.
+func Decode(text []byte) (Note, error) {
+	var n Note
+	return n, decode(text, &n)
+}
+
+// DecodeConfig reads a configuration as [Decode] does a release note.
+func DecodeConfig(text []byte) (Config, error) {
+	var c Config
+	return c, decode(text, &c)
+}
+
+func decode(text []byte, into any) error {
+	if len(text) > MaxNoteBytes {
+		return fault.New(fault.TooLarge, fault.NotRun, "more than %d bytes", MaxNoteBytes)
+	}
+	if err := checkValue("", text, reflect.TypeOf(into).Elem()); err != nil {
+		return err
+	}
+	if err := json.Unmarshal(text, into); err != nil {
+		return fault.New(fault.Invalid, fault.NotRun, "%s", err)
+	}
+	return nil
+}
+
+// checkValue compares a JSON value with the type that it is decoded to.
+func checkValue(path string, raw json.RawMessage, t reflect.Type) error {
+	if string(bytes.TrimSpace(raw)) == "null" {
+		return fault.BadField(path, "null is not allowed")
+	}
+	switch t.Kind() {
+	case reflect.Struct:
+		return checkStruct(path, raw, t)
+	case reflect.Map:
+		_, err := eachField(path, raw, func(string) (reflect.Type, bool) { return t.Elem(), true })
+		return err
+	case reflect.Slice:
+		return checkSlice(path, raw, t)
+	}
+	if err := json.Unmarshal(raw, reflect.New(t).Interface()); err != nil {
+		return fault.BadField(path, "want %s, not %.40s", describe(t), raw)
+	}
+	return nil
+}
+
+func checkStruct(path string, raw json.RawMessage, t reflect.Type) error {
+	types := map[string]reflect.Type{}
+	var required []string
+	for _, f := range reflect.VisibleFields(t) {
+		name, options, _ := strings.Cut(f.Tag.Get("json"), ",")
+		types[name] = f.Type
+		if options != "omitempty" && !optional(t, f.Type) {
+			required = append(required, name)
+		}
+	}
+	seen, err := eachField(path, raw, func(name string) (reflect.Type, bool) {
+		t, ok := types[name]
+		return t, ok
+	})
+	if err != nil {
+		return err
+	}
+	for _, name := range required {
+		if !seen[name] {
+			return fault.BadField(join(path, name), "missing")
+		}
+	}
+	return nil
+}
+
+// optional reports whether a field may be left out of its struct.
+func optional(owner, field reflect.Type) bool {
+	switch field {
+	case reflect.TypeFor[State](), reflect.TypeFor[Sections](), reflect.TypeFor[Withdrawn]():
+		return true
+	}
+	return owner == reflect.TypeFor[Limits]()
+}
+
+// eachField checks the fields of a JSON object and returns their names.
+func eachField(path string, raw json.RawMessage, typeOf func(string) (reflect.Type, bool)) (map[string]bool, error) {
+	decoder, err := open(path, raw, '{')
+	if err != nil {
+		return nil, err
+	}
+	seen := map[string]bool{}
+	for decoder.More() {
+		token, err := decoder.Token()
+		if err != nil {
+			return nil, broken(path, err)
+		}
+		name := token.(string)
+		field := join(path, name)
+		t, ok := typeOf(name)
+		if !ok {
+			return nil, fault.BadField(field, "unknown")
+		}
+		if seen[name] {
+			return nil, fault.BadField(field, "given twice")
+		}
+		seen[name] = true
+		if err := checkNext(field, decoder, t); err != nil {
+			return nil, err
+		}
+	}
+	return seen, shut(path, decoder)
+}
+
+func checkSlice(path string, raw json.RawMessage, t reflect.Type) error {
+	decoder, err := open(path, raw, '[')
+	if err != nil {
+		return err
+	}
+	for i := 0; decoder.More(); i++ {
+		if err := checkNext(fmt.Sprintf("%s[%d]", path, i), decoder, t.Elem()); err != nil {
+			return err
+		}
+	}
+	return shut(path, decoder)
+}
+
+func checkNext(path string, decoder *json.Decoder, t reflect.Type) error {
+	var raw json.RawMessage
+	if err := decoder.Decode(&raw); err != nil {
+		return broken(path, err)
+	}
+	return checkValue(path, raw, t)
+}
+
+func open(path string, raw json.RawMessage, first json.Delim) (*json.Decoder, error) {
+	decoder := json.NewDecoder(bytes.NewReader(raw))
+	token, err := decoder.Token()
+	if err != nil {
+		return nil, broken(path, err)
+	}
+	if token != first {
+		return nil, fault.BadField(path, "does not start with %s", first)
+	}
+	return decoder, nil
+}
+
+// shut reads the end of an object or array; nothing may follow it.
+func shut(path string, decoder *json.Decoder) error {
+	if _, err := decoder.Token(); err != nil {
+		return broken(path, err)
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return fault.BadField(path, "more than one value")
+	}
+	return nil
+}
+
+func broken(path string, err error) error {
+	if errors.Is(err, io.EOF) {
+		return fault.BadField(path, "JSON text ends early")
+	}
+	return fault.BadField(path, "not JSON: %s", err)
+}
+
+func join(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
+
+func describe(t reflect.Type) string {
+	switch t.Kind() {
+	case reflect.Float64:
+		return "number"
+	case reflect.String:
+		return "string"
+	case reflect.Bool:
+		return "true or false"
+	}
+	if _, ok := reflect.New(t).Interface().(interface{ UnmarshalText([]byte) error }); ok {
+		return "name of a " + strings.ToLower(t.Name())
+	}
+	return "whole number"
+}
