Call targets with truthful verdicts

Cause: the pool needs calls to model engines and plain services whose errors say truthfully whether the call may have run and what that tells about the target.

Change: package engine: Client.Do for plain calls and server-sent events, load reports, cache events and engine orders. fasthttp reads and writes the messages; the connections are the package's own, so that each call can close exactly its own and nothing is sent twice.

Conclusion: kept connections only for idempotent calls. Writing answers with fasthttp inside a synctest bubble was tried and dropped: its date updater never ends and the bubble's time runs away.

--- /dev/null
+++ b/engine/attempt.go
@@ -0,0 +1,206 @@
+package engine
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"bergamotworks/fault"
+	"bergamotworks/note"
+)
+
+// The headers that identify a call.
+const (
+	HeaderRequestID      = "X-Request-Id"
+	HeaderIdempotencyKey = "Idempotency-Key"
+	HeaderFencingToken   = "X-Fencing-Token"
+)
+
+// attempt is one exchange on one connection.
+type attempt struct {
+	client   *Client
+	call     Call
+	started  time.Time
+	deadline time.Time
+	conn     *conn
+	ctx      context.Context
+	lastUse  bool // The target closes the connection after its answer.
+}
+
+// run opens or takes a connection, sends the call and reads the answer.
+func (a *attempt) run(ctx context.Context, onChunk func(Chunk)) (Answer, *Failure) {
+	a.ctx = ctx
+	if failure := a.connect(); failure != nil {
+		return Answer{}, failure
+	}
+	stop := context.AfterFunc(ctx, a.abort)
+	answer, failure := a.exchange(onChunk)
+	intact := stop() && failure == nil && !a.lastUse
+	answer.Latency = a.client.Clock.Now().Sub(a.started)
+	a.release(intact)
+	return answer, failure
+}
+
+// abort closes the connection of an abandoned call, which ends its reads.
+func (a *attempt) abort() { closeConn(a.conn) }
+
+// release keeps the connection after a whole answer and closes it otherwise.
+func (a *attempt) release(intact bool) {
+	if !intact {
+		closeConn(a.conn)
+		return
+	}
+	a.client.idle.put(a.conn, a.client.Clock.Now(), a.client.idleTimeout())
+}
+
+// connect takes a kept connection for an idempotent call, or opens one.
+func (a *attempt) connect() *Failure {
+	now := a.client.Clock.Now()
+	if failure := a.expired(now); failure != nil {
+		return failure
+	}
+	if a.call.Idempotent {
+		a.conn = a.client.idle.take(a.call.Address, now, a.client.idleTimeout())
+	}
+	if a.conn != nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(a.ctx, a.client.connectTimeout())
+	defer cancel()
+	stream, err := a.client.Network.Dial(ctx, a.call.Address)
+	if err == nil {
+		a.conn = newConn(a.call.Address, stream)
+		return nil
+	}
+	if failure := a.expired(a.client.Clock.Now()); failure != nil {
+		return failure
+	}
+	return notRun(Unreachable, fault.ConnectionLost, "connect to %s: %s", a.call.Address, err)
+}
+
+// expired returns a failure if a call that was not sent is no longer wanted.
+func (a *attempt) expired(now time.Time) *Failure {
+	if !a.deadline.IsZero() && !now.Before(a.deadline) {
+		return notRun(Abandoned, fault.DeadlineExceeded, "the deadline passed before the call was sent")
+	}
+	if a.ctx.Err() != nil {
+		return notRun(Abandoned, fault.Canceled, "canceled before the call was sent")
+	}
+	return nil
+}
+
+// exchange writes the request and reads the answer.
+func (a *attempt) exchange(onChunk func(Chunk)) (Answer, *Failure) {
+	request := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(request)
+	response := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(response)
+
+	a.fill(request)
+	a.wait(a.client.firstByteTimeout(a.call))
+	if err := a.write(request); err != nil {
+		return Answer{}, a.lost(err)
+	}
+	if err := response.Header.Read(a.conn.reader); err != nil {
+		return Answer{}, a.lost(err)
+	}
+	if failure := a.checkHeader(response); failure != nil {
+		return Answer{}, failure
+	}
+	a.lastUse = response.ConnectionClose()
+	if a.call.Kind == note.Generate {
+		return a.stream(response, onChunk)
+	}
+	return a.unary(response)
+}
+
+func (a *attempt) write(request *fasthttp.Request) error {
+	if err := request.Write(a.conn.writer); err != nil {
+		return err
+	}
+	return a.conn.writer.Flush()
+}
+
+// fill sets the header and the body of the request.
+func (a *attempt) fill(request *fasthttp.Request) {
+	request.Header.SetMethod(fasthttp.MethodPost)
+	request.Header.SetHost(a.call.Address)
+	request.SetRequestURI(path(a.call.Kind))
+	request.Header.SetContentType("application/json")
+	request.Header.Set(HeaderRequestID, a.call.Attempt)
+	if !a.call.Idempotent && a.call.IdempotencyKey != "" {
+		request.Header.Set(HeaderIdempotencyKey, a.call.IdempotencyKey)
+	}
+	request.SetBodyRaw(a.call.body())
+}
+
+// wait sets the connection's deadline to the limit or to the call's deadline.
+func (a *attempt) wait(limit time.Duration) {
+	until := a.client.Clock.Now().Add(limit)
+	if !a.deadline.IsZero() && a.deadline.Before(until) {
+		until = a.deadline
+	}
+	_ = a.conn.SetDeadline(until) // An error shows up at the next read.
+}
+
+// checkHeader checks that the answer belongs to the call and reports success.
+func (a *attempt) checkHeader(response *fasthttp.Response) *Failure {
+	if id := response.Header.Peek(HeaderRequestID); string(id) != a.call.Attempt {
+		return failed(Corrupt, fault.TargetFailed, "the answer belongs to attempt %q", id)
+	}
+	switch status := response.StatusCode(); status {
+	case fasthttp.StatusOK:
+		return nil
+	case fasthttp.StatusTooManyRequests:
+		return &Failure{Cause: Overloaded, Fault: fault.New(fault.Busy, fault.NotRun,
+			"%s is overloaded", a.call.Target).WithRetryAfter(retryAfter(response))}
+	default:
+		return failed(Rejected, fault.TargetFailed, "%s answered with status %d", a.call.Target, status)
+	}
+}
+
+// retryAfter returns the wait that the target asks for, zero if none.
+func retryAfter(response *fasthttp.Response) time.Duration {
+	seconds, err := strconv.Atoi(string(response.Header.Peek("Retry-After")))
+	if err != nil || seconds < 0 {
+		return 0
+	}
+	return time.Duration(seconds) * time.Second
+}
+
+// lost turns an error of the connection into a failure.
+func (a *attempt) lost(err error) *Failure {
+	if a.conn.readErr != nil {
+		err = a.conn.readErr
+	}
+	timeout := errors.Is(err, os.ErrDeadlineExceeded)
+	switch {
+	case a.ctx.Err() != nil && !errors.Is(a.ctx.Err(), context.DeadlineExceeded):
+		return failed(Abandoned, fault.Canceled, "canceled while the call ran")
+	case a.ctx.Err() != nil || timeout && a.pastDeadline():
+		return failed(Abandoned, fault.DeadlineExceeded, "the deadline passed while the call ran")
+	case timeout:
+		a.client.idle.drop(a.call.Address)
+		return failed(Silent, fault.ConnectionLost, "no byte from %s within the limit", a.call.Target)
+	case closedByTarget(err):
+		return failed(Crashed, fault.ConnectionLost, "%s closed the connection: %s", a.call.Target, err)
+	default:
+		return failed(Corrupt, fault.TargetFailed, "answer of %s: %s", a.call.Target, err)
+	}
+}
+
+func (a *attempt) pastDeadline() bool {
+	return !a.deadline.IsZero() && !a.client.Clock.Now().Before(a.deadline)
+}
+
+func closedByTarget(err error) bool {
+	var op *net.OpError
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &op) ||
+		errors.Is(err, net.ErrClosed) || errors.Is(err, io.ErrClosedPipe)
+}
--- /dev/null
+++ b/engine/client.go
@@ -0,0 +1,139 @@
+package engine
+
+import (
+	"context"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/sirupsen/logrus"
+
+	"bergamotworks/fault"
+	"bergamotworks/note"
+	"bergamotworks/ports"
+)
+
+// The default limits of a [Client].
+const (
+	defaultConnectTimeout   = 500 * time.Millisecond
+	defaultFirstByteTimeout = 10 * time.Second
+	defaultProgressTimeout  = 2 * time.Second
+	defaultIdleTimeout      = 30 * time.Second
+	defaultMaxAnswerBytes   = 8 << 20
+)
+
+// Client calls targets. Its exported fields are set before the first call; it
+// is safe for concurrent use. Clock and Network must agree on the time, since
+// limits are set as deadlines of connections.
+type Client struct {
+	Network ports.Network
+	Clock   ports.Clock
+	Log     logrus.FieldLogger // May be nil.
+	Metrics *metrics.Set       // May be nil.
+
+	ConnectTimeout time.Duration // Zero means 500 ms.
+	// FirstByteTimeout bounds the wait for the first byte of an answer; zero
+	// means 10 s.
+	FirstByteTimeout time.Duration
+	// ProgressTimeout bounds the wait between two bytes of an answer; zero
+	// means 2 s.
+	ProgressTimeout time.Duration
+	IdleTimeout     time.Duration // Kept connections are closed after it; zero means 30 s.
+	MaxAnswerBytes  int           // Zero means 8 MiB.
+
+	idle   idleConns
+	counts counters
+}
+
+// Do sends the call and returns the whole answer. For a model engine onChunk,
+// unless nil, gets every chunk in order before Do returns. Once the context is
+// done the connection is closed, which cancels the call on the target.
+//
+// Errors are of type *Failure. The verdict is NotRun only if no connection was
+// opened or the target refused the call before running it.
+func (c *Client) Do(ctx context.Context, call Call, onChunk func(Chunk)) (Answer, error) {
+	if call.Attempt == "" {
+		return Answer{}, notRun(Unknown, fault.Invalid, "the call names no attempt")
+	}
+	if call.generated() {
+		return Answer{Text: call.Resume, Tokens: call.ResumeTokens, Output: TextOutput(call.Resume)}, nil
+	}
+	a := attempt{client: c, call: call, started: c.Clock.Now(), deadline: earliest(ctx, call.Deadline)}
+	answer, failure := a.run(ctx, onChunk)
+	c.observe(call, failure, answer)
+	if failure != nil {
+		return answer, failure
+	}
+	return answer, nil
+}
+
+// Close closes the kept connections. Calls in progress keep theirs until they end.
+func (c *Client) Close() error {
+	c.idle.close()
+	return nil
+}
+
+// observe counts the call and logs a failure.
+func (c *Client) observe(call Call, failure *Failure, answer Answer) {
+	c.counts.add(c.Metrics, call.Kind, failure, answer)
+	if failure == nil || c.Log == nil {
+		return
+	}
+	c.Log.WithFields(logrus.Fields{
+		"target":  call.Target,
+		"attempt": call.Attempt,
+		"cause":   failure.Cause.String(),
+		"verdict": failure.Fault.Verdict.String(),
+	}).Debug(failure.Fault.Message)
+}
+
+// earliest returns the earlier of the context's deadline and the given one.
+func earliest(ctx context.Context, deadline time.Time) time.Time {
+	limit, ok := ctx.Deadline()
+	if ok && (deadline.IsZero() || limit.Before(deadline)) {
+		return limit
+	}
+	return deadline
+}
+
+func (c *Client) connectTimeout() time.Duration {
+	return orDefault(c.ConnectTimeout, defaultConnectTimeout)
+}
+
+func (c *Client) progressTimeout() time.Duration {
+	return orDefault(c.ProgressTimeout, defaultProgressTimeout)
+}
+
+func (c *Client) firstByteTimeout(call Call) time.Duration {
+	return orDefault(call.FirstByteTimeout, orDefault(c.FirstByteTimeout, defaultFirstByteTimeout))
+}
+
+func (c *Client) idleTimeout() time.Duration {
+	return orDefault(c.IdleTimeout, defaultIdleTimeout)
+}
+
+func (c *Client) maxAnswerBytes() int {
+	return orDefault(c.MaxAnswerBytes, defaultMaxAnswerBytes)
+}
+
+func orDefault[T int | time.Duration](value, fallback T) T {
+	if value == 0 {
+		return fallback
+	}
+	return value
+}
+
+// path returns the path of the calls of a stage kind.
+func path(kind note.StageKind) string {
+	switch kind {
+	case note.Encode:
+		return "/v1/embeddings"
+	case note.Retrieve:
+		return "/v1/search"
+	case note.Rerank:
+		return "/v1/rerank"
+	case note.Generate:
+		return "/v1/completions"
+	default:
+		return "/v1/call"
+	}
+}
--- /dev/null
+++ b/engine/counters.go
@@ -0,0 +1,55 @@
+package engine
+
+import (
+	"fmt"
+	"sync"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"bergamotworks/note"
+)
+
+// okLabel marks calls without a failure in the metrics.
+const okLabel = "ok"
+
+// counters holds the metrics of a client, looked up once.
+type counters struct {
+	once   sync.Once
+	calls  map[string]*metrics.Counter
+	tokens *metrics.Counter
+	times  map[note.StageKind]*metrics.Histogram
+}
+
+// add counts one call. A nil set counts nothing.
+func (c *counters) add(set *metrics.Set, kind note.StageKind, failure *Failure, answer Answer) {
+	if set == nil {
+		return
+	}
+	c.once.Do(func() { c.create(set) })
+	result := okLabel
+	if failure != nil {
+		result = failure.Cause.String()
+	}
+	c.calls[result].Inc()
+	c.tokens.Add(answer.Tokens)
+	if failure == nil {
+		c.times[kind].Update(answer.Latency.Seconds())
+	}
+}
+
+func (c *counters) create(set *metrics.Set) {
+	c.calls = make(map[string]*metrics.Counter)
+	for _, v := range CauseValues() {
+		c.calls[v.String()] = callCounter(set, v.String())
+	}
+	c.calls[okLabel] = callCounter(set, okLabel)
+	c.tokens = set.NewCounter("engine_tokens_total")
+	c.times = make(map[note.StageKind]*metrics.Histogram)
+	for _, k := range note.StageKindValues() {
+		c.times[k] = set.NewHistogram(fmt.Sprintf("engine_call_seconds{kind=%q}", k))
+	}
+}
+
+func callCounter(set *metrics.Set, result string) *metrics.Counter {
+	return set.NewCounter(fmt.Sprintf("engine_calls_total{result=%q}", result))
+}
--- /dev/null
+++ b/engine/report.go
@@ -0,0 +1,155 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"bergamotworks/fault"
+	"bergamotworks/note"
+)
+
+// LoadReport is what a target says about itself. It lags behind.
+type LoadReport struct {
+	// Incarnation tells one life of the target's process from the next.
+	Incarnation int64    `json:"incarnation"`
+	Running     int      `json:"running"`
+	Waiting     int      `json:"waiting"`
+	Limit       int      `json:"limit"`
+	Model       string   `json:"model"`
+	Adapters    []string `json:"adapters"`
+	Role        string   `json:"role"`
+	// Fence is the highest fencing number that the target has obeyed.
+	Fence int64 `json:"fence"`
+	// CacheSequence is the number of the last cache event.
+	CacheSequence int64 `json:"cache_sequence"`
+}
+
+// CacheEvents lists prefixes that entered and left a target's cache.
+type CacheEvents struct {
+	Sequence int64    `json:"sequence"`
+	Added    []string `json:"added"`
+	Removed  []string `json:"removed"`
+	// Gap says that events since the asked sequence are missing.
+	Gap bool `json:"gap"`
+}
+
+// Order is a request to an engine to change what it holds or does.
+type Order struct {
+	Kind    note.OrderKind `json:"-"`
+	Subject string         `json:"name"`
+	Version string         `json:"version,omitempty"`
+	Fence   int64          `json:"-"`
+}
+
+// Load asks a target for its load.
+func (c *Client) Load(ctx context.Context, target, address string) (LoadReport, error) {
+	var report LoadReport
+	err := c.fetch(ctx, query{target: target, address: address, path: "/load"}, &report)
+	return report, err
+}
+
+// CacheEvents asks a model engine for the cache events after a sequence number.
+func (c *Client) CacheEvents(ctx context.Context, target, address string, since int64) (CacheEvents, error) {
+	var events CacheEvents
+	path := "/kv_events?since=" + strconv.FormatInt(since, 10)
+	err := c.fetch(ctx, query{target: target, address: address, path: path}, &events)
+	return events, err
+}
+
+// Order sends an engine order under its fencing number. An order that the
+// engine refuses for its number fails with the kind Conflict and NotRun.
+func (c *Client) Order(ctx context.Context, target, address string, order Order) error {
+	body, err := json.Marshal(order)
+	if err != nil {
+		return notRun(Unknown, fault.Invalid, "order: %s", err)
+	}
+	return c.fetch(ctx, query{
+		target: target, address: address, path: orderPath(order.Kind), body: body, fence: order.Fence,
+	}, nil)
+}
+
+func orderPath(kind note.OrderKind) string {
+	switch kind {
+	case note.LoadAdapter:
+		return "/v1/load_lora_adapter"
+	case note.UnloadAdapter:
+		return "/v1/unload_lora_adapter"
+	case note.LoadModel:
+		return "/v1/load_model"
+	default:
+		return "/v1/role"
+	}
+}
+
+// query is a short exchange outside the stage calls, on a connection of its own.
+type query struct {
+	target  string
+	address string
+	path    string
+	body    []byte // Empty means GET.
+	fence   int64
+}
+
+// fetch runs the query and decodes the answer unless result is nil.
+func (c *Client) fetch(ctx context.Context, query query, result any) error {
+	call := Call{Target: query.target, Address: query.address}
+	a := attempt{client: c, call: call, started: c.Clock.Now(), deadline: earliest(ctx, time.Time{}), ctx: ctx}
+	if failure := a.connect(); failure != nil {
+		return failure
+	}
+	defer a.release(false)
+	defer context.AfterFunc(ctx, a.abort)()
+	if failure := a.fetch(query, result); failure != nil {
+		return failure
+	}
+	return nil
+}
+
+func (a *attempt) fetch(query query, result any) *Failure {
+	request := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(request)
+	response := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(response)
+	query.fill(request)
+	a.wait(a.client.progressTimeout())
+	if err := a.write(request); err != nil {
+		return a.lost(err)
+	}
+	if err := response.ReadLimitBody(a.conn.reader, a.client.maxAnswerBytes()); err != nil {
+		return a.lost(err)
+	}
+	return a.decode(response, result)
+}
+
+func (q query) fill(request *fasthttp.Request) {
+	request.Header.SetHost(q.address)
+	request.SetRequestURI(q.path)
+	request.SetConnectionClose()
+	if q.body == nil {
+		return
+	}
+	request.Header.SetMethod(fasthttp.MethodPost)
+	request.Header.SetContentType("application/json")
+	request.Header.Set(HeaderFencingToken, strconv.FormatInt(q.fence, 10))
+	request.SetBodyRaw(q.body)
+}
+
+// decode turns the answer of a query into its result or a failure.
+func (a *attempt) decode(response *fasthttp.Response, result any) *Failure {
+	switch status := response.StatusCode(); {
+	case status == fasthttp.StatusConflict:
+		return notRun(Rejected, fault.Conflict, "%s holds a newer fencing number", a.call.Target)
+	case status != fasthttp.StatusOK:
+		return failed(Rejected, fault.TargetFailed, "%s answered with status %d", a.call.Target, status)
+	case result == nil:
+		return nil
+	}
+	if err := json.Unmarshal(response.Body(), result); err != nil {
+		return failed(Corrupt, fault.TargetFailed, "answer of %s: %s", a.call.Target, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/engine/request.go
@@ -0,0 +1,77 @@
+package engine
+
+import (
+	"encoding/json"
+
+	"bergamotworks/note"
+)
+
+// CompletionRequest is the body of a call to a model engine.
+type CompletionRequest struct {
+	Model     string `json:"model"`
+	Prompt    string `json:"prompt"`
+	MaxTokens int    `json:"max_tokens"`
+	Stream    bool   `json:"stream"`
+	Priority  int    `json:"priority"`
+}
+
+// CompletionChunk is one event of a model engine's answer.
+type CompletionChunk struct {
+	ID      string             `json:"id"`
+	Choices []CompletionChoice `json:"choices"`
+	Usage   *CompletionUsage   `json:"usage,omitempty"`
+}
+
+// CompletionChoice is the generated part of a [CompletionChunk].
+type CompletionChoice struct {
+	Index        int     `json:"index"`
+	Text         string  `json:"text"`
+	FinishReason *string `json:"finish_reason"`
+}
+
+// CompletionUsage counts the tokens of a call.
+type CompletionUsage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+}
+
+// CompletionID returns the identifier of the answer to an attempt.
+func CompletionID(attempt string) string { return "cmpl-" + attempt }
+
+// body returns the body of the request.
+func (c Call) body() []byte {
+	if c.Kind == note.Generate {
+		return c.completionBody()
+	}
+	const members = `{"input":,"previous":}`
+	body := make([]byte, 0, len(c.Input)+len(c.Previous)+len(members)+2*len("null"))
+	body = append(body, `{"input":`...)
+	body = appendValue(body, c.Input)
+	body = append(body, `,"previous":`...)
+	body = appendValue(body, c.Previous)
+	return append(body, '}')
+}
+
+func appendValue(body []byte, value json.RawMessage) []byte {
+	if len(value) == 0 {
+		return append(body, "null"...)
+	}
+	return append(body, value...)
+}
+
+// completionBody returns the body for a model engine. A resumed call asks for
+// the tokens that are left.
+func (c Call) completionBody() []byte {
+	prompt := c.Prompt
+	if prompt == "" {
+		prompt = Prompt(c.Input, c.Previous)
+	}
+	body, _ := json.Marshal(CompletionRequest{ // Strings and numbers always encode.
+		Model:     c.Model,
+		Prompt:    prompt + c.Resume,
+		MaxTokens: c.MaxTokens - c.ResumeTokens,
+		Stream:    true,
+		Priority:  c.Priority,
+	})
+	return body
+}
--- /dev/null
+++ b/engine/unary.go
@@ -0,0 +1,38 @@
+package engine
+
+import (
+	"encoding/json"
+
+	"github.com/valyala/fasthttp"
+
+	"bergamotworks/fault"
+)
+
+// callResponse is the body of an answer that comes as a whole.
+type callResponse struct {
+	ID     string          `json:"id"`
+	Output json.RawMessage `json:"output"`
+}
+
+// unary reads an answer that comes as a whole.
+func (a *attempt) unary(response *fasthttp.Response) (Answer, *Failure) {
+	first := a.client.Clock.Now().Sub(a.started)
+	if response.Header.ContentLength() < 0 {
+		return Answer{}, failed(Corrupt, fault.TargetFailed, "the answer states no length")
+	}
+	a.wait(a.client.progressTimeout())
+	if err := response.ReadBody(a.conn.reader, a.client.maxAnswerBytes()); err != nil {
+		return Answer{}, a.lost(err)
+	}
+	var body callResponse
+	if err := json.Unmarshal(response.Body(), &body); err != nil {
+		return Answer{}, failed(Corrupt, fault.TargetFailed, "answer of %s: %s", a.call.Target, err)
+	}
+	if body.ID != a.call.Attempt {
+		return Answer{}, failed(Corrupt, fault.TargetFailed, "the answer belongs to attempt %q", body.ID)
+	}
+	if len(body.Output) == 0 {
+		return Answer{}, failed(Corrupt, fault.TargetFailed, "the answer has no output")
+	}
+	return Answer{Output: body.Output, FirstToken: first}, nil
+}
