--- /dev/null
+++ b/entry/check.go
@@ -0,0 +1,187 @@
+package entry
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"io"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/valyala/fasthttp"
+
+	"bergamotworks/fault"
+	"bergamotworks/flow"
+	"bergamotworks/note"
+)
+
+// The headers that callers send.
+const (
+	HeaderAccount    = "X-Account"
+	HeaderKey        = "Idempotency-Key"
+	HeaderKeyCreated = "Idempotency-Created"
+	HeaderDeadline   = "X-Deadline-Ms"
+	HeaderRequest    = "X-Request-Id"
+)
+
+const (
+	pipelinePrefix = "/v1/pipelines/"
+	maxKeyBytes    = 128
+	maxDeadline    = 24 * time.Hour
+)
+
+// body is what a caller posts.
+type body struct {
+	Input  json.RawMessage `json:"input"`
+	Stream bool            `json:"stream"`
+}
+
+// check turns an HTTP request into a request for the flow. The cheap checks
+// come first; the body is parsed last.
+func (s *Server) check(ctx *fasthttp.RequestCtx, now time.Time) (flow.Request, error) {
+	config := s.Config()
+	name := strings.TrimPrefix(string(ctx.Path()), pipelinePrefix)
+	pipeline, ok := config.Sections.Pipelines[name]
+	if !ok {
+		return flow.Request{}, fault.New(fault.NotFound, fault.NotRun, "no pipeline %q", name).WithField("pipeline")
+	}
+	request := flow.Request{ID: uuid.NewString(), Pipeline: name}
+	checks := []func() error{
+		func() error { return checkMedia(ctx) },
+		func() error { return checkAccount(ctx, config, &request) },
+		func() error { return s.checkKey(ctx, pipeline, &request) },
+		func() error { return checkDeadline(ctx, pipeline, now, &request) },
+		func() error { return checkBody(ctx, config, pipeline, &request) },
+	}
+	for _, c := range checks {
+		if err := c(); err != nil {
+			return request, err
+		}
+	}
+	return request, nil
+}
+
+func checkMedia(ctx *fasthttp.RequestCtx) error {
+	media, _, _ := strings.Cut(string(ctx.Request.Header.ContentType()), ";")
+	switch strings.TrimSpace(media) {
+	case "", "application/json", "application/octet-stream":
+	default:
+		return fault.BadField("content_type", "%q is not application/json", media)
+	}
+	if encoding := ctx.Request.Header.ContentEncoding(); len(encoding) > 0 {
+		return fault.BadField("content_encoding", "%q is not supported", encoding)
+	}
+	return nil
+}
+
+func checkAccount(ctx *fasthttp.RequestCtx, config note.Config, request *flow.Request) error {
+	request.Account = string(ctx.Request.Header.Peek(HeaderAccount))
+	if request.Account == "" {
+		return fault.BadField("x_account", "header %s is missing", HeaderAccount)
+	}
+	account, ok := config.Sections.Accounts[request.Account]
+	if !ok {
+		return fault.New(fault.Unauthorized, fault.NotRun, "unknown client account").WithField("x_account")
+	}
+	if account.KeyHash == "" {
+		return nil
+	}
+	secret := strings.TrimPrefix(string(ctx.Request.Header.Peek("Authorization")), "Bearer ")
+	hash := sha256.Sum256([]byte(secret))
+	given := hex.EncodeToString(hash[:])
+	if subtle.ConstantTimeCompare([]byte(given), []byte(strings.ToLower(account.KeyHash))) != 1 {
+		return fault.New(fault.Unauthorized, fault.NotRun, "wrong key for the client account").WithField("authorization")
+	}
+	return nil
+}
+
+func (s *Server) checkKey(ctx *fasthttp.RequestCtx, pipeline note.Pipeline, request *flow.Request) error {
+	request.Key = string(ctx.Request.Header.Peek(HeaderKey))
+	if len(request.Key) > maxKeyBytes {
+		return fault.BadField("idempotency_key", "longer than %d bytes", maxKeyBytes)
+	}
+	if pipeline.Idempotent() {
+		return nil
+	}
+	if request.Key == "" {
+		return fault.BadField("idempotency_key", "pipeline %s is not idempotent and needs header %s", request.Pipeline, HeaderKey)
+	}
+	created := string(ctx.Request.Header.Peek(HeaderKeyCreated))
+	var err error
+	request.KeyTime, err = s.KeyTime(request.Key, created)
+	return err
+}
+
+func checkDeadline(ctx *fasthttp.RequestCtx, pipeline note.Pipeline, now time.Time, request *flow.Request) error {
+	text := string(ctx.Request.Header.Peek(HeaderDeadline))
+	if text == "" {
+		request.Deadline = now.Add(pipeline.Deadline())
+		return nil
+	}
+	milliseconds, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || milliseconds <= 0 || milliseconds > maxDeadline.Milliseconds() {
+		return fault.BadField("x_deadline_ms", "%q is not a number of milliseconds from 1 to %d", text, maxDeadline.Milliseconds())
+	}
+	request.Deadline = now.Add(time.Duration(milliseconds) * time.Millisecond)
+	return nil
+}
+
+func checkBody(ctx *fasthttp.RequestCtx, config note.Config, pipeline note.Pipeline, request *flow.Request) error {
+	text := ctx.Request.Body()
+	if limit := config.Limits().MaxBodyBytes; len(text) > limit {
+		return fault.New(fault.TooLarge, fault.NotRun, "body has %d bytes, the limit is %d", len(text), limit).WithField("body")
+	}
+	parsed, err := parseBody(text)
+	if err != nil {
+		return err
+	}
+	if parsed.Stream && !streams(config, pipeline) {
+		return fault.BadField("stream", "pipeline %s does not end in a generate stage", request.Pipeline)
+	}
+	var compact bytes.Buffer
+	if err := json.Compact(&compact, parsed.Input); err != nil {
+		return fault.BadField("input", "%s", err)
+	}
+	request.Input = compact.Bytes()
+	request.Stream = parsed.Stream
+	request.Fingerprint = flow.Fingerprint(request.Pipeline, request.Input)
+	return nil
+}
+
+func parseBody(text []byte) (body, error) {
+	var parsed body
+	decoder := json.NewDecoder(bytes.NewReader(text))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&parsed); err != nil {
+		return parsed, fault.BadField(bodyField(err), "%s", err)
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return parsed, fault.BadField("body", "text after the JSON object")
+	}
+	if len(parsed.Input) == 0 {
+		return parsed, fault.BadField("input", "missing")
+	}
+	return parsed, nil
+}
+
+// bodyField names the field that a decoding error speaks of.
+func bodyField(err error) string {
+	var kind *json.UnmarshalTypeError
+	if errors.As(err, &kind) && kind.Field != "" {
+		return kind.Field
+	}
+	if _, name, ok := strings.Cut(err.Error(), "unknown field "); ok {
+		return strings.Trim(name, `"`)
+	}
+	return "body"
+}
+
+func streams(config note.Config, pipeline note.Pipeline) bool {
+	last := pipeline.Stages[len(pipeline.Stages)-1]
+	return config.Sections.Services[last.Service].Kind == note.Generate
+}
--- /dev/null
+++ b/flow/outcome.go
@@ -0,0 +1,47 @@
+package flow
+
+import (
+	"time"
+
+	"bergamotworks/fault"
+)
+
+// Outcome is what became of one run.
+type Outcome struct {
+	At       time.Time
+	Pipeline string
+	Class    string
+	Account  string
+	// Attained says that the answer was whole and in time.
+	Attained bool
+	Verdict  fault.Verdict // Valid if there is no answer.
+	Answered bool
+	// Refused says that no stage ran.
+	Refused bool
+	Latency time.Duration
+	// FirstToken is the time to the first token of a streamed answer.
+	FirstToken time.Duration
+	Stages     []StageReport
+}
+
+// outcome describes the run at its end.
+func (r *run) outcome(now time.Time) Outcome {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	o := Outcome{
+		At: now, Pipeline: r.request.Pipeline, Class: r.pipeline.Class, Account: r.request.Account,
+		Answered: r.err == nil, Latency: now.Sub(r.started), Stages: r.stages,
+	}
+	o.Attained = o.Answered && !now.After(r.deadline)
+	if r.err != nil {
+		o.Verdict = fault.VerdictOf(r.err)
+		o.Refused = o.Verdict == fault.NotRun
+	}
+	for i := range o.Stages {
+		o.Stages[i].Wasted = o.Stages[i].Wasted || !o.Answered
+		if o.Stages[i].FirstTokenMS > 0 {
+			o.FirstToken = time.Duration(o.Stages[i].FirstTokenMS * float64(time.Millisecond))
+		}
+	}
+	return o
+}
