Suspend pools while the membership does not vouch for their owner

Cause: an owner that was paused or cut off can have been replaced, so that two owners would admit work to one target at the full limit. Change: a pool is suspended on a gap between ticks, while the view is in doubt and on each change of the epoch; it resumes 500 ms later, cold, with its targets assumed full until a report or a time-out says otherwise.

--- /dev/null
+++ b/member/fixed.go
@@ -0,0 +1,14 @@
+package member
+
+import (
+	"cmp"
+	"slices"
+)
+
+// NewView returns a view in which the given VMs, the own one included, are the
+// members. It serves single nodes and tests of packages that use views.
+func NewView(self VM, others ...VM) View {
+	all := append([]VM{self}, others...)
+	slices.SortFunc(all, func(a, b VM) int { return cmp.Compare(a.ID, b.ID) })
+	return View{Self: self, Version: 1, members: all, owners: newOwners(all)}
+}
--- a/owner/owned.go
+++ b/owner/owned.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"bergamotworks/member"
 	"bergamotworks/pool"
 	"bergamotworks/ports"
 )
@@ -15,7 +16,8 @@
 	mutex   sync.Mutex
 	pool    *pool.Pool
 	waiting map[string]*waiter
-	ticked  time.Time
+	ticked  time.Time // Last tick in trust, or begin of the suspension.
+	epoch   uint64    // Epoch of the membership at the last tick.
 	paused  bool
 }
 
@@ -37,12 +39,9 @@
 }
 
 func (o *owned) detectPause(now time.Time) {
-	if o.paused || now.Sub(o.ticked) < pauseLimit {
-		return
+	if !o.paused && now.Sub(o.ticked) >= pauseLimit {
+		o.suspend(now)
 	}
-	o.paused = true
-	o.ticked = now
-	o.apply(now, pool.Suspended{})
 }
 
 func (o *owned) apply(now time.Time, event pool.Event) {
@@ -74,18 +73,19 @@
 	}
 }
 
-// tick passes time. A pool that was suspended goes on once the membership
-// vouches for this node and a pause lies behind.
-func (o *owned) tick(now time.Time, trusted bool) {
+// tick passes time. A pool is suspended while the membership does not vouch for
+// this node, and after each change of the epoch. It goes on, cold, once that
+// lies behind.
+func (o *owned) tick(now time.Time, view member.View) {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
+	trusted := !view.Doubt && !view.CutOff && view.Epoch == o.epoch
 	o.detectPause(now)
 	switch {
-	case !trusted && !o.paused:
-		o.paused = true
-		o.ticked = now
-		o.apply(now, pool.Suspended{})
-	case trusted && o.paused && now.Sub(o.ticked) > pauseLimit/2:
+	case !trusted:
+		o.epoch = view.Epoch
+		o.suspend(now)
+	case o.paused && now.Sub(o.ticked) >= resumeAfter:
 		o.paused = false
 		o.ticked = now
 		o.apply(now, pool.Resumed{})
@@ -95,6 +95,15 @@
 	o.apply(now, pool.Ticked{})
 }
 
+func (o *owned) suspend(now time.Time) {
+	o.ticked = now
+	if o.paused {
+		return
+	}
+	o.paused = true
+	o.apply(now, pool.Suspended{})
+}
+
 // submit registers a call and offers it to the pool.
 func (o *owned) submit(now time.Time, call pool.Call) *waiter {
 	w := &waiter{decision: make(chan pool.Action, 1)}
--- a/owner/service.go
+++ b/owner/service.go
@@ -56,7 +56,8 @@
 
 const (
 	tickInterval    = 25 * time.Millisecond
-	pauseLimit      = 1 * time.Second // Longer gaps between ticks count as a pause.
+	pauseLimit      = 1 * time.Second        // Longer gaps between ticks count as a pause.
+	resumeAfter     = 500 * time.Millisecond // Time in trust before a suspended pool goes on.
 	pollInterval    = 500 * time.Millisecond
 	pollPerTarget   = 200 * time.Millisecond // Bounds the polls of a node to 5 a second.
 	handoverTimeout = 1 * time.Second
@@ -114,9 +115,8 @@
 func (s *Service) tick() {
 	now := s.Clock.Now()
 	view := s.View()
-	trusted := !view.Doubt && !view.CutOff
 	for _, o := range s.list() {
-		o.tick(now, trusted)
+		o.tick(now, view)
 	}
 }
 
@@ -158,7 +158,7 @@
 			continue
 		}
 		mine[spec.Name] = true
-		s.adopt(now, spec, config, fresh, len(view.Live()))
+		s.adopt(now, spec, config, fresh, view)
 	}
 	lost := s.dropLost(mine)
 	s.mutex.Unlock()
@@ -167,7 +167,7 @@
 	}
 }
 
-func (s *Service) adopt(now time.Time, spec pool.Spec, config note.Config, fresh bool, nodes int) {
+func (s *Service) adopt(now time.Time, spec pool.Spec, config note.Config, fresh bool, view member.View) {
 	if o := s.pools[spec.Name]; o != nil {
 		if fresh {
 			o.step(now, pool.Configured{Config: config})
@@ -177,9 +177,10 @@
 	o := &owned{
 		name:    spec.Name,
 		clock:   s.Clock,
-		pool:    &pool.Pool{Spec: spec, Config: config, Policy: s.Policy, Nodes: nodes},
+		pool:    &pool.Pool{Spec: spec, Config: config, Policy: s.Policy, Nodes: len(view.Live())},
 		waiting: make(map[string]*waiter),
 		ticked:  now,
+		epoch:   view.Epoch,
 	}
 	s.pools[spec.Name] = o
 	event := pool.TakenOver{}
