Accept release notes and spread them to every node

Cause: an accepted note must be in force everywhere within seconds and never revert, whatever the store's answers, watches or restarts do. Change: package conf: one compare-and-swap on the head, lost answers settled from the history, conflicts with their difference; three watchers, news by announcement and heartbeat, sections fetched from peers; a store that comes back empty or older is written over.

--- /dev/null
+++ b/conf/accept.go
@@ -0,0 +1,234 @@
+package conf
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"bergamotworks/fault"
+	"bergamotworks/note"
+)
+
+const (
+	settlePeriod    = 50 * time.Millisecond
+	maxSettlePeriod = time.Second
+	maxOfferTries   = 5
+	maxDifferences  = 20
+)
+
+// Offer checks a release note against the configuration in the store and
+// accepts it by one compare-and-swap of the head. It returns the configuration
+// in force afterwards. A note whose identifier was accepted before is not
+// applied again.
+//
+// A note on another base revision than the present one fails with
+// fault.Conflict and the difference. The verdict is MayHaveRun only if the
+// context ends while the outcome of the swap is open; the same note may be
+// offered again to settle it.
+func (s *Service) Offer(ctx context.Context, n note.Note) (note.Config, error) {
+	for range maxOfferTries {
+		p, i, err := s.present(ctx)
+		if err != nil {
+			return note.Config{}, neverSent(err)
+		}
+		if p.has(n.ID) {
+			return i.config, nil
+		}
+		if behind := s.current.Load().revision() > p.head.Revision; behind {
+			if err := s.restore(ctx, p.modRevision); err != nil {
+				return note.Config{}, neverSent(err)
+			}
+			continue
+		}
+		next, err := s.next(n, i)
+		if err != nil {
+			return note.Config{}, err
+		}
+		if err := s.accept(ctx, n, p, i, next); err != nil {
+			return note.Config{}, err
+		}
+		return next.config, nil
+	}
+	return note.Config{}, fault.New(fault.Unavailable, fault.NotRun, "the store is behind the configuration in force")
+}
+
+// CheckNote reports whether a note could be accepted now.
+func (s *Service) CheckNote(ctx context.Context, n note.Note) error {
+	_, i, err := s.present(ctx)
+	if err != nil {
+		return neverSent(err)
+	}
+	_, err = s.next(n, i)
+	return err
+}
+
+// History returns the accepted notes, the oldest first.
+func (s *Service) History(ctx context.Context) ([]Entry, error) {
+	p, err := readHead(ctx, s.Store)
+	if err != nil {
+		return nil, err
+	}
+	return p.history, nil
+}
+
+// present reads the head and its sections, and puts them in force if newer.
+func (s *Service) present(ctx context.Context) (present, *image, error) {
+	p, err := s.readStore(ctx)
+	if err != nil {
+		return present{}, nil, err
+	}
+	i := s.current.Load()
+	if i == nil {
+		i = &image{}
+	}
+	if i.revision() == p.head.Revision {
+		return p, i, nil
+	}
+	i, err = load(ctx, s.Store, p.head, i)
+	return p, i, err
+}
+
+// next returns the image that a note makes of the present one.
+func (s *Service) next(n note.Note, i *image) (*image, error) {
+	if n.BaseRevision != i.revision() {
+		return nil, s.conflict(n, i)
+	}
+	config, err := note.Apply(i.config, n)
+	if err != nil {
+		return nil, err
+	}
+	return newImage(config, i)
+}
+
+// accept writes the next head over the one that was read.
+func (s *Service) accept(ctx context.Context, n note.Note, p present, i, next *image) error {
+	entry := Entry{Revision: next.revision(), NoteID: n.ID, Author: n.Author, Text: n.Text}
+	w := writer{
+		store:       s.Store,
+		head:        newHead(next),
+		image:       next,
+		history:     extend(p.history, entry),
+		modRevision: p.modRevision,
+		before:      p.head.Sections,
+	}
+	if err := w.writeParts(ctx); err != nil {
+		return neverSent(err)
+	}
+	won, err := s.swap(ctx, w, n)
+	if err != nil {
+		return err
+	}
+	if !won {
+		return s.lost(ctx, n, i)
+	}
+	s.install(next, "offer")
+	return nil
+}
+
+// swap commits the new head until its outcome is known: true if this note was
+// accepted, false if another one came first. A swap that is sent again compares
+// with the same head, so that at most one of them takes effect.
+func (s *Service) swap(ctx context.Context, w writer, n note.Note) (bool, error) {
+	open := false
+	for wait := settlePeriod; ; wait = min(2*wait, maxSettlePeriod) {
+		response, err := s.Store.Commit(ctx, w.txn())
+		if err == nil && response.Succeeded {
+			return true, nil
+		}
+		if err != nil && fault.VerdictOf(err) == fault.NotRun && !open {
+			return false, err
+		}
+		open = open || err != nil
+		won, known, err := s.settle(ctx, w, n)
+		if known || err != nil {
+			return won, err
+		}
+		select {
+		case <-s.Clock.After(wait):
+		case <-ctx.Done():
+			return false, unsettled(ctx.Err(), open)
+		}
+	}
+}
+
+// settle reads the store to find out how a swap has ended. The outcome is known
+// once the head has moved beyond the one that was compared.
+func (s *Service) settle(ctx context.Context, w writer, n note.Note) (won, known bool, err error) {
+	p, readErr := readHead(ctx, s.Store)
+	if readErr != nil || p.modRevision <= w.modRevision {
+		return false, false, nil
+	}
+	if p.has(n.ID) {
+		return true, true, nil
+	}
+	if !p.covers(n.BaseRevision) {
+		return false, false, fault.New(fault.Conflict, fault.MayHaveRun, "the history no longer reaches back to revision %d", n.BaseRevision)
+	}
+	return false, true, nil
+}
+
+func unsettled(err error, open bool) error {
+	if !open {
+		return neverSent(err)
+	}
+	return fault.New(fault.DeadlineExceeded, fault.MayHaveRun, "it is not known whether the note was accepted; offer it again")
+}
+
+// lost returns the error of a note that lost the race against another one.
+func (s *Service) lost(ctx context.Context, n note.Note, base *image) error {
+	_, i, err := s.present(ctx)
+	if err != nil {
+		return fault.New(fault.Conflict, fault.NotRun, "another note came first; the present one could not be read: %s", err)
+	}
+	if i.revision() == base.revision() {
+		return fault.New(fault.Conflict, fault.NotRun, "another note came first")
+	}
+	return s.conflict(n, i)
+}
+
+// conflict returns the error for a note on another base than the present
+// configuration, with the difference between the two.
+func (s *Service) conflict(n note.Note, i *image) error {
+	text := fmt.Sprintf("the present revision is %d, by note %s", i.revision(), i.config.NoteID)
+	if base := s.past(n.BaseRevision); base != nil {
+		text += ", which differs in " + summary(note.Diff(base.config, i.config))
+	}
+	return fault.New(fault.Conflict, fault.NotRun, "%s", text).WithField("base_revision")
+}
+
+// Difference lists what has changed between an earlier revision and the one in
+// force. It reports false if the earlier one is no longer known here.
+func (s *Service) Difference(base int64) ([]note.Difference, bool) {
+	earlier := s.past(base)
+	if earlier == nil {
+		return nil, false
+	}
+	return note.Diff(earlier.config, s.Current()), true
+}
+
+func summary(differences []note.Difference) string {
+	var lines []string
+	for _, d := range differences {
+		if len(lines) == maxDifferences {
+			lines = append(lines, fmt.Sprintf("and %d more", len(differences)-maxDifferences))
+			break
+		}
+		lines = append(lines, fmt.Sprintf("%s (%s to %s)", d.Path, shown(d.Before), shown(d.After)))
+	}
+	return strings.Join(lines, ", ")
+}
+
+func shown(value []byte) string {
+	const most = 60
+	switch {
+	case len(value) == 0:
+		return "nothing"
+	case len(value) > most:
+		return string(value[:most]) + "..."
+	}
+	return string(value)
+}
+
+// neverSent returns an error of a step before the head was written.
+func neverSent(err error) error { return fault.From(err).WithVerdict(fault.NotRun) }
--- /dev/null
+++ b/conf/cluster_test.go
@@ -0,0 +1,215 @@
+package conf
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/sirupsen/logrus"
+
+	"bergamotworks/fault"
+	"bergamotworks/note"
+	"bergamotworks/ports"
+	"bergamotworks/store"
+)
+
+const (
+	peerDelay       = time.Millisecond
+	heartbeatPeriod = 500 * time.Millisecond
+)
+
+// cluster is a set of nodes over one store, each with faults of its own.
+type cluster struct {
+	t      testing.TB
+	memory *store.Memory
+	seed   uint64
+
+	mutex  sync.Mutex
+	nodes  map[string]*node
+	cut    map[[2]string]bool
+	bytes  atomic.Int64
+	muted  atomic.Bool // No heartbeats.
+	faults map[string]*store.Faults
+	tasks  sync.WaitGroup
+}
+
+type node struct {
+	*Service
+	vm      string
+	cluster *cluster
+	ctx     context.Context
+	cancel  context.CancelFunc
+	seen    []int64 // Revisions in the order in which they came into force.
+}
+
+func newCluster(t testing.TB) *cluster {
+	return &cluster{
+		t:      t,
+		memory: &store.Memory{},
+		nodes:  map[string]*node{},
+		cut:    map[[2]string]bool{},
+		faults: map[string]*store.Faults{},
+	}
+}
+
+// faultsOf returns the faults between a VM and the store.
+func (c *cluster) faultsOf(vm string) *store.Faults {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.faults[vm] == nil {
+		c.faults[vm] = &store.Faults{Store: c.memory, Random: ports.NewSeededRandom(1)}
+	}
+	return c.faults[vm]
+}
+
+// newNode returns a node that does not run yet.
+func newNode(c *cluster, vm string) *node {
+	faults := c.faultsOf(vm)
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.seed++
+	n := &node{vm: vm, cluster: c}
+	n.ctx, n.cancel = context.WithCancel(context.Background())
+	n.Service = &Service{
+		Self:    vm,
+		Store:   faults,
+		Peers:   n,
+		Members: n,
+		Clock:   ports.SystemClock{},
+		Random:  ports.NewSeededRandom(c.seed),
+		Log:     quiet(),
+		Metrics: metrics.NewSet(),
+	}
+	return n
+}
+
+func (c *cluster) start(vm string) {
+	n := newNode(c, vm)
+	n.Subscribe(func(config note.Config) { n.seen = append(n.seen, config.Revision) })
+	c.mutex.Lock()
+	c.nodes[vm] = n
+	c.mutex.Unlock()
+	c.tasks.Go(n.run)
+	c.tasks.Go(n.loop)
+}
+
+func (n *node) run() {
+	if err := n.Run(n.ctx); err != nil {
+		n.cluster.t.Error(err)
+	}
+}
+
+// loop sends heartbeats to all peers that can be reached.
+func (n *node) loop() {
+	for n.ctx.Err() == nil {
+		for _, vm := range n.Live() {
+			if peer := n.cluster.reach(n.vm, vm); peer != nil && !n.cluster.muted.Load() {
+				peer.Learn(n.vm, n.Current().Revision)
+			}
+		}
+		select {
+		case <-time.After(heartbeatPeriod):
+		case <-n.ctx.Done():
+		}
+	}
+}
+
+func (c *cluster) stop(vm string) {
+	c.mutex.Lock()
+	n := c.nodes[vm]
+	delete(c.nodes, vm)
+	c.mutex.Unlock()
+	n.cancel()
+	if err := n.Close(); err != nil {
+		c.t.Error(err)
+	}
+}
+
+func (c *cluster) close() {
+	for _, vm := range c.names() {
+		c.stop(vm)
+	}
+	c.tasks.Wait()
+}
+
+func (c *cluster) names() []string {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	var vms []string
+	for vm := range c.nodes {
+		vms = append(vms, vm)
+	}
+	return vms
+}
+
+// Live returns all other VMs, cut off or not, as a lagging membership would.
+func (n *node) Live() []string {
+	var others []string
+	for _, vm := range n.cluster.names() {
+		if vm != n.vm {
+			others = append(others, vm)
+		}
+	}
+	return others
+}
+
+func (c *cluster) reach(from, to string) *node {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.cut[[2]string{from, to}] {
+		return nil
+	}
+	return c.nodes[to]
+}
+
+// Call runs a method of a peer. A cut connection is silent.
+func (n *node) Call(ctx context.Context, vm, method string, params, result any) error {
+	time.Sleep(peerDelay)
+	peer := n.cluster.reach(n.vm, vm)
+	if peer == nil {
+		<-ctx.Done()
+		return fault.From(ctx.Err())
+	}
+	request := encode(params)
+	response, err := peer.answer(ctx, method, request)
+	if err != nil {
+		return err
+	}
+	n.cluster.bytes.Add(int64(len(request) + len(response)))
+	time.Sleep(peerDelay)
+	return json.Unmarshal(response, result)
+}
+
+func (n *node) answer(ctx context.Context, method string, request []byte) ([]byte, error) {
+	switch method {
+	case MethodFetch:
+		return answer(ctx, request, n.HandleFetch)
+	case MethodAnnounce:
+		return answer(ctx, request, n.HandleAnnounce)
+	}
+	return nil, fmt.Errorf("unknown method %s", method)
+}
+
+func answer[P, R any](ctx context.Context, request []byte, handle func(context.Context, P) (R, error)) ([]byte, error) {
+	var params P
+	if err := json.Unmarshal(request, &params); err != nil {
+		return nil, err
+	}
+	result, err := handle(ctx, params)
+	if err != nil {
+		return nil, err
+	}
+	return encode(result), nil
+}
+
+func quiet() *logrus.Entry {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return logrus.NewEntry(log)
+}
--- /dev/null
+++ b/conf/image.go
@@ -0,0 +1,144 @@
+package conf
+
+import (
+	"cmp"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"maps"
+	"slices"
+	"strings"
+
+	"bergamotworks/fault"
+	"bergamotworks/note"
+)
+
+// hashBytes is the length of a content hash before it is written in hexadecimal.
+const hashBytes = 16
+
+// part is one separately stored piece of a configuration.
+type part struct {
+	hash     string
+	content  json.RawMessage
+	sections note.Sections
+}
+
+// image is a configuration with its parts by name. It is immutable.
+type image struct {
+	config   note.Config
+	parts    map[string]part
+	checksum string
+}
+
+func (i *image) revision() int64 {
+	if i == nil {
+		return 0
+	}
+	return i.config.Revision
+}
+
+// newImage splits a configuration into parts and takes over those parts of an
+// earlier image that are equal.
+func newImage(config note.Config, earlier *image) (*image, error) {
+	parts := map[string]part{}
+	for name, sections := range split(config.Sections) {
+		content, err := json.Marshal(sections)
+		if err != nil {
+			return nil, fault.New(fault.Internal, fault.NotRun, "encode %s: %s", name, err)
+		}
+		hash := hashOf(content)
+		if earlier != nil && earlier.parts[name].hash == hash {
+			parts[name] = earlier.parts[name]
+			continue
+		}
+		parts[name] = part{hash: hash, content: content, sections: sections}
+	}
+	return &image{config: config, parts: parts, checksum: checksum(parts)}, nil
+}
+
+// assemble joins parts to an image.
+func assemble(revision int64, noteID string, parts map[string]part) *image {
+	var s note.Sections
+	for _, name := range slices.Sorted(maps.Keys(parts)) {
+		s = joinSections(s, parts[name].sections)
+	}
+	config := note.Config{}.WithSections(s).WithRevision(revision, noteID)
+	return &image{config: config, parts: parts, checksum: checksum(parts)}
+}
+
+func newPart(name string, content json.RawMessage) (part, error) {
+	p := part{hash: hashOf(content), content: content}
+	if err := json.Unmarshal(content, &p.sections); err != nil {
+		return part{}, fault.New(fault.Internal, fault.NotRun, "decode section %s: %s", name, err)
+	}
+	return p, nil
+}
+
+// split returns the sections by the name under which each is stored. Targets
+// are split by service and failure domain, so that a change of one target stays
+// small.
+func split(s note.Sections) map[string]note.Sections {
+	result := map[string]note.Sections{}
+	put := func(name string, count int, sections note.Sections) {
+		if count > 0 {
+			result[name] = sections
+		}
+	}
+	put("domains", len(s.Domains), note.Sections{Domains: s.Domains})
+	put("services", len(s.Services), note.Sections{Services: s.Services})
+	put("pipelines", len(s.Pipelines), note.Sections{Pipelines: s.Pipelines})
+	put("classes", len(s.Classes), note.Sections{Classes: s.Classes})
+	put("accounts", len(s.Accounts), note.Sections{Accounts: s.Accounts})
+	put("objectives", len(s.Objectives), note.Sections{Objectives: s.Objectives})
+	put("orders", len(s.Orders), note.Sections{Orders: s.Orders})
+	put("limits", len(s.Limits), note.Sections{Limits: s.Limits})
+	for name, t := range s.Targets {
+		group := strings.Join([]string{"targets", t.Service, t.Domain}, ".")
+		if result[group].Targets == nil {
+			result[group] = note.Sections{Targets: map[string]note.Target{}}
+		}
+		result[group].Targets[name] = t
+	}
+	return result
+}
+
+func joinSections(a, b note.Sections) note.Sections {
+	return note.Sections{
+		Domains:    joinMaps(a.Domains, b.Domains),
+		Services:   joinMaps(a.Services, b.Services),
+		Targets:    joinMaps(a.Targets, b.Targets),
+		Pipelines:  joinMaps(a.Pipelines, b.Pipelines),
+		Classes:    joinMaps(a.Classes, b.Classes),
+		Accounts:   joinMaps(a.Accounts, b.Accounts),
+		Objectives: joinMaps(a.Objectives, b.Objectives),
+		Orders:     joinMaps(a.Orders, b.Orders),
+		Limits:     joinMaps(a.Limits, b.Limits),
+	}
+}
+
+// joinMaps adds b to a map that assemble has made, so a shared one is copied.
+func joinMaps[T any](a, b map[string]T) map[string]T {
+	if len(b) == 0 {
+		return a
+	}
+	if a == nil {
+		return maps.Clone(b)
+	}
+	maps.Copy(a, b)
+	return a
+}
+
+func hashOf(content []byte) string {
+	sum := sha256.Sum256(content)
+	return hex.EncodeToString(sum[:hashBytes])
+}
+
+// checksum identifies the content of a whole configuration.
+func checksum(parts map[string]part) string {
+	var lines []string
+	for name, p := range parts {
+		lines = append(lines, name+" "+p.hash)
+	}
+	slices.SortFunc(lines, cmp.Compare)
+	return hashOf([]byte(strings.Join(lines, "\n")))
+}
--- /dev/null
+++ b/conf/spread_test.go
@@ -0,0 +1,98 @@
+package conf
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"bergamotworks/fault"
+	"bergamotworks/note"
+	"bergamotworks/script"
+	"bergamotworks/store"
+)
+
+// spreadCase measures the time from acceptance until a note is in force on all
+// nodes, in the time of synctest, and the bytes that the peers exchange for it.
+type spreadCase struct {
+	Nodes   int           `json:"nodes"`
+	Runs    int           `json:"runs"`
+	Offer   string        `json:"offer"`  // VM of the offer; "operator" goes straight to the store.
+	Faults  []store.Fault `json:"faults"` // Between all nodes and the store.
+	Kill    int           `json:"kill"`   // Nodes that die silently at the offer.
+	LimitMS int64         `json:"limit_ms"`
+}
+
+func TestSpread(t *testing.T) {
+	script.Run(t, "testdata/spread/*.json", func(t *testing.T, data spreadCase) {
+		var times, bytes []int64
+		for seed := range data.Runs {
+			synctest.Test(t, func(t *testing.T) {
+				took, sent := data.measure(t, uint64(seed*data.Nodes))
+				times = append(times, took.Milliseconds())
+				bytes = append(bytes, sent)
+			})
+		}
+		t.Logf("milliseconds until in force: %v", times)
+		t.Logf("bytes between peers for each node: %v", bytes)
+		for seed, took := range times {
+			if took > data.LimitMS {
+				t.Errorf("seed %d took %d ms", seed, took)
+			}
+		}
+	})
+}
+
+func (d spreadCase) measure(t *testing.T, seed uint64) (time.Duration, int64) {
+	c := newCluster(t)
+	c.seed = seed
+	defer c.close()
+	for i := range d.Nodes {
+		c.start(fmt.Sprintf("n%d", i))
+	}
+	first, err := note.Shipped("toits_unis")
+	if err != nil {
+		t.Fatal(err)
+	}
+	a := &actor{cluster: c}
+	if _, err := a.service(d.Offer).Offer(context.Background(), first); err != nil {
+		t.Fatal(err)
+	}
+	a.await(1)
+	time.Sleep(time.Duration(seed%1000) * time.Millisecond)
+	for _, vm := range c.names() {
+		c.faultsOf(vm).Add(d.Faults...)
+	}
+	a.kill(d.Kill)
+	c.bytes.Store(0)
+	second := note.Note{ID: "n2", BaseRevision: 1, Changed: note.Sections{
+		Domains: map[string]note.FailureDomain{"north": {State: note.OutOfService}},
+	}}
+	if _, err := a.service(d.Offer).Offer(context.Background(), second); err != nil {
+		t.Fatal(fault.From(err))
+	}
+	start := time.Now()
+	a.await(2)
+	return time.Since(start), c.bytes.Load() / int64(d.Nodes)
+}
+
+// await waits until a revision is in force on all nodes.
+func (a *actor) await(revision int64) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	for len(Lagging(revision, a.revisions())) > 0 && ctx.Err() == nil {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// kill cuts off nodes that stay in the list of live VMs, and takes them out of
+// those that are awaited.
+func (a *actor) kill(count int) {
+	for i := range count {
+		vm := fmt.Sprintf("n%d", i)
+		a.connect([]string{vm}, a.names(), false)
+		a.faultsOf(vm).Add(store.Fault{Kind: store.FaultDown})
+		a.dead = append(a.dead, vm)
+	}
+}
