Recognise timeouts of fake connections

Cause: the in-memory connections of fasthttputil return a timeout that is neither os.ErrDeadlineExceeded nor a whole net.Error; a silent connection was then called corrupt.

Change: any error with Timeout() true counts as a timeout.

Measured: the scripted silence of package emul gave corrupt before and gives silent after; engine's scripts pass unchanged.

--- a/engine/attempt.go
+++ b/engine/attempt.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net"
-	"os"
 	"strconv"
 	"time"
 
@@ -179,7 +178,7 @@
 	if a.conn.readErr != nil {
 		err = a.conn.readErr
 	}
-	timeout := errors.Is(err, os.ErrDeadlineExceeded)
+	timeout := isTimeout(err)
 	switch {
 	case a.ctx.Err() != nil && !errors.Is(a.ctx.Err(), context.DeadlineExceeded):
 		return failed(Abandoned, fault.Canceled, "canceled while the call ran")
@@ -199,6 +198,11 @@
 	return !a.deadline.IsZero() && !a.client.Clock.Now().Before(a.deadline)
 }
 
+func isTimeout(err error) bool {
+	var n interface{ Timeout() bool }
+	return errors.As(err, &n) && n.Timeout()
+}
+
 func closedByTarget(err error) bool {
 	var op *net.OpError
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &op) ||
