Stand in for model engines and plain services

Cause: experiments and the demo need targets with cold start, batching, prefix caches, lagging reports and faults, that count on their own side.

Change: package emul: Target, Fleet, the expected answers of requests and pipelines, and a witness that charges runs, time and tokens to requests.

--- /dev/null
+++ b/emul/target_test.go
@@ -0,0 +1,195 @@
+package emul
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/valyala/fasthttp/fasthttputil"
+
+	"bergamotworks/engine"
+	"bergamotworks/fault"
+	"bergamotworks/note"
+	"bergamotworks/ports"
+	"bergamotworks/script"
+)
+
+// targetCase is a sequence of calls and faults at a target.
+type targetCase struct {
+	Service note.Service `json:"service"`
+	Warm    bool         `json:"warm"`
+	Events  []event      `json:"events"`
+	// Results are the causes of the calls in the order of their events.
+	Results []engine.Cause `json:"results"`
+	Counts  Counts         `json:"counts"`
+	Doubles int            `json:"doubles"`
+}
+
+type event struct {
+	AtMS    int     `json:"at_ms"`
+	Do      string  `json:"do"`
+	Calls   int     `json:"calls"` // Number of calls at once.
+	Request string  `json:"request"`
+	Keyed   bool    `json:"keyed"`
+	LeaveMS int     `json:"leave_ms"` // Time after which the caller leaves.
+	Factor  float64 `json:"factor"`
+	Text    string  `json:"text"`
+}
+
+func TestTarget(t *testing.T) {
+	script.Run(t, "testdata/target/*.json", func(t *testing.T, v targetCase) {
+		synctest.Test(t, func(t *testing.T) { testTarget(t, v) })
+	})
+}
+
+func testTarget(t *testing.T, v targetCase) {
+	b := newBench(t, v)
+	started := time.Now()
+	for _, e := range v.Events {
+		time.Sleep(time.Until(started.Add(time.Duration(e.AtMS) * time.Millisecond)))
+		b.do(e)
+	}
+	b.group.Wait()
+	time.Sleep(time.Minute) // The target sees the last cancellation.
+	got := targetCase{Service: v.Service, Warm: v.Warm, Events: v.Events, Counts: b.target().Counts()}
+	got.Counts.Busy, got.Counts.LatestAfterDeparture = 0, 0
+	got.Doubles = b.fleet.Snapshot().DoubleRuns
+	for _, p := range b.results {
+		got.Results = append(got.Results, *p)
+	}
+	_ = b.client.Close()
+	_ = b.fleet.Close()
+	time.Sleep(time.Minute) // The HTTP library's workers end after their idle time.
+	if diff := cmp.Diff(v, got); diff != "" {
+		t.Errorf("target (-want +got):\n%s", diff)
+	}
+}
+
+// bench is a fleet of one target and a client.
+type bench struct {
+	t       *testing.T
+	fleet   *Fleet
+	client  *engine.Client
+	address string
+	service note.Service
+	group   sync.WaitGroup
+	results []*engine.Cause
+}
+
+func newBench(t *testing.T, v targetCase) *bench {
+	t.Helper()
+	config := note.Config{Sections: note.Sections{
+		Services: map[string]note.Service{"s": v.Service},
+		Targets:  map[string]note.Target{"t1": {Service: "s", Domain: "d"}},
+		Pipelines: map[string]note.Pipeline{"p": {Stages: []note.Stage{
+			{Name: "one", Service: "s", Idempotent: true, MaxTokens: 10},
+		}}},
+	}}
+	network := &memory{}
+	b := &bench{t: t, service: v.Service}
+	b.fleet = &Fleet{Config: config, Network: network, Clock: ports.SystemClock{}, Warm: v.Warm}
+	placed, err := b.fleet.Start()
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.address = placed.Sections.Targets["t1"].Address
+	b.client = &engine.Client{Network: network, Clock: ports.SystemClock{}}
+	return b
+}
+
+func (b *bench) target() *Target { return b.fleet.Target("t1") }
+
+func (b *bench) do(e event) {
+	switch e.Do {
+	case "call":
+		for range max(e.Calls, 1) {
+			b.call(e)
+		}
+	case "kill":
+		b.target().Kill()
+	case "restart":
+		if err := b.target().Restart(); err != nil {
+			b.t.Fatal(err)
+		}
+	case "turn_cold":
+		b.target().TurnCold()
+	case "slow":
+		b.target().Slow(e.Factor)
+	case "silent":
+		b.target().Silent()
+	case "refuse":
+		b.target().Refuse(true)
+	case "poison":
+		b.target().Poison(e.Text)
+	case "depart":
+		b.target().Depart()
+	default:
+		b.t.Fatalf("unknown event %q", e.Do)
+	}
+}
+
+// call starts a call whose answer is checked against the expected one.
+func (b *bench) call(e event) {
+	n := len(b.results)
+	result := new(engine.Cause)
+	b.results = append(b.results, result)
+	request := e.Request
+	if request == "" {
+		request = fmt.Sprintf("r%d", n)
+	}
+	call := engine.Call{
+		Target: "t1", Address: b.address, Kind: b.service.Kind, Attempt: fmt.Sprintf("a%d", n),
+		Idempotent: !e.Keyed, Input: json.RawMessage(fmt.Sprintf(`{"request":%q}`, request)), MaxTokens: 10,
+	}
+	if e.Keyed {
+		call.IdempotencyKey = "k-" + request
+	}
+	b.group.Add(1)
+	go b.run(call, time.Duration(e.LeaveMS)*time.Millisecond, result)
+	synctest.Wait()
+}
+
+func (b *bench) run(call engine.Call, leave time.Duration, result *engine.Cause) {
+	defer b.group.Done()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	if leave > 0 {
+		timer := time.AfterFunc(leave, cancel)
+		defer timer.Stop()
+	}
+	answer, err := b.client.Do(ctx, call, nil)
+	*result = engine.CauseOf(err)
+	want := Output(call.Kind, call.Input, nil, call.MaxTokens)
+	if diff := cmp.Diff(string(want), string(answer.Output)); err == nil && diff != "" {
+		b.t.Errorf("answer (-want +got):\n%s", diff)
+	}
+	if err != nil && *result == engine.Overloaded && fault.VerdictOf(err) != fault.NotRun {
+		b.t.Error("a refused call must say not run")
+	}
+}
+
+// memory is a network inside the process.
+type memory struct {
+	ports.SystemNetwork
+	mutex    sync.Mutex
+	listener *fasthttputil.InmemoryListener
+}
+
+func (m *memory) Listen(string) (net.Listener, error) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.listener = fasthttputil.NewInmemoryListener()
+	return m.listener, nil
+}
+
+func (m *memory) Dial(context.Context, string) (net.Conn, error) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.listener.Dial()
+}
