--- a/member/contact.go
+++ b/member/contact.go
@@ -11,8 +11,8 @@
 	bucketCount  = 32
 	rumorBucket  = bucketCount // The bit after the buckets of VMs stands for the rumours.
 	maxDatagram  = 1200        // Bytes of payload that pass every network unfragmented.
-	headerBytes  = 200         // Bound on the header of a message.
-	joinFanout   = 3           // Seeds asked at once by a VM that knows no other.
+	headerBytes  = 350         // Bound on the header of a message with its digests.
+	joinFanout   = 3           // Seeds asked at once, at most, by a VM that knows no other.
 	syncsOnStart = 3           // Early comparisons, which repair lost datagrams of the first.
 )
 
@@ -25,6 +25,7 @@
 	joinUntil time.Time
 	joined    bool
 	early     int
+	tries     int // Rounds in which no VM was known.
 }
 
 func (c *contacts) start(now time.Time, s Settings) {
@@ -60,7 +61,8 @@
 func (t *Table) reconnect() {
 	count, wait := 1, t.settings.ReconnectEvery
 	if len(t.probes.order) == 0 {
-		count, wait = joinFanout, t.settings.Period
+		t.contacts.tries++
+		count, wait = min(t.contacts.tries, joinFanout), t.settings.Period
 	}
 	t.contacts.tryDue = t.now.Add(wait)
 	addresses := t.unreached()
@@ -77,8 +79,7 @@
 func (t *Table) unreached() []string {
 	known := map[string]bool{t.Self.Gossip: true}
 	var addresses []string
-	for _, id := range sortedKeys(t.members) {
-		e := t.members[id]
+	for _, e := range t.sorted {
 		if e.State == Dead {
 			addresses = append(addresses, e.Gossip)
 		}
@@ -109,7 +110,7 @@
 // digests returns a checksum of each bucket of the table.
 func (t *Table) digests() []uint32 {
 	sums := make([]uint32, bucketCount+1)
-	for _, e := range t.members {
+	for _, e := range t.sorted {
 		if !e.State.Gone() {
 			sums[bucket(e.ID)] += checksum(e.delta())
 		}
@@ -141,60 +142,64 @@
 	}
 }
 
-// answerSync sends the entries of the buckets that differ and asks for the
-// other side's.
+// answerSync sends the entries of the buckets that differ, and the digests by
+// which the other side finds what is missing here.
 func (t *Table) answerSync(address string, m message) {
 	own := t.digests()
-	if len(m.Digests) != len(own) {
+	buckets := differing(own, m.Digests)
+	if buckets == 0 {
+		t.send(address, message{Kind: syncState})
 		return
 	}
-	var differing uint64
-	for i, d := range own {
-		if m.Digests[i] != d {
-			differing |= 1 << i
-		}
-	}
-	t.sendBuckets(address, differing, differing)
+	t.sendBuckets(address, buckets, own)
 }
 
-// takeSync follows an answer: the other side asks for the same buckets.
+// takeSync follows an answer, and returns what the other side is missing.
 func (t *Table) takeSync(address string, m message) {
 	if !t.contacts.joined {
 		t.join()
 	}
-	if m.Buckets != 0 {
-		t.sendBuckets(address, m.Buckets, 0)
-		if t.contacts.early < syncsOnStart {
-			t.contacts.early++
-			t.contacts.syncDue = t.now.Add(t.settings.Period)
+	if len(m.Digests) == 0 {
+		return
+	}
+	if t.contacts.early < syncsOnStart {
+		t.contacts.early++
+		t.contacts.syncDue = t.now.Add(t.settings.Period)
+	}
+	if buckets := differing(t.digests(), m.Digests); buckets != 0 {
+		t.sendBuckets(address, buckets, nil)
+	}
+}
+
+// differing returns the buckets whose digests differ, as bits.
+func differing(own, other []uint32) uint64 {
+	var buckets uint64
+	for i, d := range own {
+		if i < len(other) && other[i] != d {
+			buckets |= 1 << i
 		}
 	}
+	return buckets
 }
 
-// sendBuckets sends entries in as many datagrams as they need. The last one
-// says which buckets are wanted in return.
-func (t *Table) sendBuckets(address string, buckets, wanted uint64) {
+// sendBuckets sends entries in as many datagrams as they need, the last one
+// with the digests.
+func (t *Table) sendBuckets(address string, buckets uint64, digests []uint32) {
 	deltas := t.entriesOf(buckets)
 	var rumors []wireRumor
 	if buckets&(1<<rumorBucket) != 0 {
 		rumors = t.rumors.all()
 	}
-	for {
-		var m message
-		m.Kind = syncState
+	for last := false; !last; {
+		m := message{Kind: syncState}
 		room := maxDatagram - headerBytes
 		deltas, m.Deltas, room = chunk(deltas, room)
 		rumors, m.Rumors, _ = chunk(rumors, room)
-		last := len(deltas) == 0 && len(rumors) == 0
-		if last {
-			m.Buckets = wanted
-		}
-		if len(m.Deltas) > 0 || len(m.Rumors) > 0 || wanted != 0 || buckets == 0 {
-			t.send(address, m)
-		}
+		last = len(deltas) == 0 && len(rumors) == 0
 		if last {
-			return
+			m.Digests = digests
 		}
+		t.send(address, m)
 	}
 }
 
@@ -214,9 +219,9 @@
 	if buckets&(1<<bucket(t.Self.ID)) != 0 {
 		deltas = append(deltas, t.selfDelta())
 	}
-	for _, id := range sortedKeys(t.members) {
-		if buckets&(1<<bucket(id)) != 0 {
-			deltas = append(deltas, t.members[id].delta())
+	for _, e := range t.sorted {
+		if buckets&(1<<bucket(e.ID)) != 0 {
+			deltas = append(deltas, e.delta())
 		}
 	}
 	return deltas
--- a/member/event.go
+++ b/member/event.go
@@ -53,6 +53,14 @@
 // Hear hands out a rumour that is new to this VM.
 type Hear struct{ Rumor Rumor }
 
+// Behind says that another VM has a higher configuration revision in force
+// than this VM has heard of before.
+type Behind struct {
+	VM       VM
+	Revision int64
+}
+
+func (Behind) action()  {}
 func (Send) action()    {}
 func (Publish) action() {}
 func (Hear) action()    {}
--- a/member/fleet_test.go
+++ b/member/fleet_test.go
@@ -47,7 +47,8 @@
 	order    int
 	from, to string
 	payload  []byte
-	life     int // A tick of this life of the VM, if there is no payload.
+	event    func() // Something else than a datagram.
+	life     int    // A tick of this life of the VM, if there is no payload.
 }
 
 type deliveries []delivery
@@ -132,12 +133,17 @@
 		if f.onView != nil {
 			f.onView(n, a.View)
 		}
+	case Behind:
+		adopt(f, n, a)
 	case Hear:
 		n.rumors[a.Rumor.Key] = a.Rumor.Value
 	}
 }
 
 func (f *fleet) countDeaths(before, after View) {
+	if before.Version == after.Version {
+		return
+	}
 	for _, m := range after.Members() {
 		old, _ := before.Find(m.ID)
 		n := f.nodes[m.Gossip]
@@ -173,6 +179,10 @@
 		d := heap.Pop(&f.queue).(delivery)
 		f.now = d.at
 		n := f.nodes[d.to]
+		if d.event != nil {
+			d.event()
+			continue
+		}
 		if d.payload == nil {
 			f.tick(n, d.life)
 			continue
--- a/member/merge.go
+++ b/member/merge.go
@@ -67,6 +67,7 @@
 		e.Attributes = m.attributes()
 		e.Attributes.Ready = ready
 		t.views.worn = true
+		t.compareRevision(e)
 	}
 	return e
 }
@@ -121,7 +122,7 @@
 func (t *Table) apply(d delta, from source) {
 	e := t.members[d.ID]
 	if e == nil {
-		t.admit(d)
+		t.admit(d, from)
 		return
 	}
 	if !d.newer(e) {
@@ -163,8 +164,9 @@
 	e.Region = d.Region
 }
 
-// admit adds a VM that was not known.
-func (t *Table) admit(d delta) {
+// admit adds a VM that was not known. A VM read from another table is no news:
+// it announced itself to others.
+func (t *Table) admit(d delta, from source) {
 	if d.Details == nil {
 		return
 	}
@@ -172,8 +174,12 @@
 	e.Attributes.Ready = d.Ready
 	e.withDetails(d.Details)
 	t.members[d.ID] = e
+	at, _ := slices.BinarySearchFunc(t.sorted, e, compareEntries)
+	t.sorted = slices.Insert(t.sorted, at, e)
 	t.moved(e, VM{State: Left})
-	t.spread(d)
+	if from != synced {
+		t.spread(d)
+	}
 }
 
 // moved follows a change of an entry in the state that depends on it.
@@ -247,14 +253,20 @@
 	if !t.views.periodEnd {
 		return
 	}
-	for id, e := range t.members {
-		if e.State.Gone() && t.now.Sub(e.Since) > t.settings.TombstoneTime {
-			delete(t.members, id)
+	old := func(e *entry) bool {
+		return e.State.Gone() && t.now.Sub(e.Since) > t.settings.TombstoneTime
+	}
+	for _, e := range t.sorted {
+		if old(e) {
+			delete(t.members, e.ID)
 			t.views.stale = true
 		}
 	}
+	t.sorted = slices.DeleteFunc(t.sorted, old)
 }
 
+func compareEntries(a, b *entry) int { return byID(a.VM, b.VM) }
+
 func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
 	return slices.Sorted(maps.Keys(m))
 }
--- a/member/message.go
+++ b/member/message.go
@@ -36,7 +36,6 @@
 	Deltas      []delta     `cbor:"10,keyasint,omitempty"`
 	Rumors      []wireRumor `cbor:"11,keyasint,omitempty"`
 	Digests     []uint32    `cbor:"12,keyasint,omitempty"`
-	Buckets     uint64      `cbor:"13,keyasint,omitempty"` // Buckets that the sender wants to be told.
 }
 
 // delta is one entry of the table. Details are sent where the receiver may not
--- a/member/probe.go
+++ b/member/probe.go
@@ -68,7 +68,7 @@
 		target:   e.ID,
 		sent:     t.now,
 		indirect: t.now.Add(timeout),
-		expires:  t.now.Add(3 * timeout),
+		expires:  t.now.Add(2 * timeout),
 	})
 	t.send(e.Gossip, message{Kind: ping, Sequence: sequence, Confirmed: e.confirmed(), Deltas: t.warn(e)})
 }
@@ -126,14 +126,23 @@
 	if target == nil {
 		return
 	}
-	helpers := t.pick(t.settings.IndirectProbes, func(e *entry) bool {
-		return e.State == Alive && e.ID != p.target
-	})
-	for _, h := range helpers {
+	for _, h := range t.helpers(target) {
 		t.send(h.Gossip, message{Kind: pingRequest, Sequence: sequence, Target: target.Gossip})
 	}
 }
 
+// helpers returns VMs that can probe the target as fast as this VM: those of
+// the target's region, or any if it has no others.
+func (t *Table) helpers(target *entry) []*entry {
+	near := t.pick(t.settings.IndirectProbes, func(e *entry) bool {
+		return e.State == Alive && e != target && e.Region == target.Region
+	})
+	if len(near) > 0 {
+		return near
+	}
+	return t.pick(t.settings.IndirectProbes, func(e *entry) bool { return e.State == Alive && e != target })
+}
+
 // unanswered judges a VM that neither answered nor was reached by others. One
 // that was heard meanwhile lives, though it may not hear this VM.
 func (t *Table) unanswered(e *entry, p *probe) {
@@ -170,7 +179,7 @@
 func (t *Table) answerRequest(from string, m message) {
 	sequence := t.track(&probe{
 		sent:    t.now,
-		expires: t.now.Add(3 * t.settings.FarProbeTimeout),
+		expires: t.now.Add(2 * t.settings.FarProbeTimeout),
 		origin:  from,
 		answer:  m.Sequence,
 	})
--- a/member/service.go
+++ b/member/service.go
@@ -51,6 +51,9 @@
 	Log      *logrus.Entry
 	Metrics  *metrics.Set
 	Rumors   func(Rumor) // Called for each rumour that is new; may be nil.
+	// Revisions is called when a VM has a higher configuration revision in
+	// force than was heard of before; may be nil.
+	Revisions func(from VM, revision int64)
 
 	setup       sync.Once
 	wake        chan struct{}
@@ -234,6 +237,10 @@
 		s.send(a)
 	case Publish:
 		s.publish(a)
+	case Behind:
+		if s.Revisions != nil {
+			s.Revisions(a.VM, a.Revision)
+		}
 	case Hear:
 		if s.Rumors != nil {
 			s.Rumors(a.Rumor)
--- a/member/table.go
+++ b/member/table.go
@@ -1,7 +1,6 @@
 package member
 
 import (
-	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -24,6 +23,7 @@
 	turn     uint32 // Counts the changes of readiness of the own VM.
 
 	members  map[string]*entry // Every other VM that is known.
+	sorted   []*entry          // The same by ID.
 	suspects map[string]*entry
 	probes   probing
 	changes  queue[delta]
@@ -136,8 +136,8 @@
 // pick returns up to count random members that satisfy the condition.
 func (t *Table) pick(count int, condition func(*entry) bool) []*entry {
 	var candidates []*entry
-	for _, id := range slices.Sorted(maps.Keys(t.members)) {
-		if e := t.members[id]; condition(e) {
+	for _, e := range t.sorted {
+		if condition(e) {
 			candidates = append(candidates, e)
 		}
 	}
--- a/member/trust.go
+++ b/member/trust.go
@@ -87,12 +87,18 @@
 	return t.settings.suspicionTimeout(t.fleet()) + t.settings.ProbeTimeout
 }
 
-// seekConfirmation probes further VMs when the last probes went unanswered.
+// seekConfirmation probes further VMs when the last probe went unanswered,
+// first of all those that were heard since.
 func (t *Table) seekConfirmation() {
-	if t.now.Sub(t.trust.confirmed) < 2*t.settings.Period {
+	if t.now.Sub(t.trust.confirmed) < 3*t.settings.Period/2 {
 		return
 	}
-	for _, e := range t.pick(t.settings.IndirectProbes, func(e *entry) bool { return e.State.Live() }) {
+	count := t.settings.IndirectProbes
+	asked := t.pick(count, func(e *entry) bool { return e.State.Live() && e.Heard.After(t.trust.confirmed) })
+	if len(asked) == 0 {
+		asked = t.pick(count, func(e *entry) bool { return e.State.Live() })
+	}
+	for _, e := range asked {
 		t.probe(e)
 	}
 }
--- a/member/views.go
+++ b/member/views.go
@@ -1,11 +1,18 @@
 package member
 
+import (
+	"slices"
+	"strings"
+)
+
 // views decides when a new view is handed out.
 type views struct {
 	version   uint64
 	stale     bool // Members, states or readiness changed: publish at once.
 	worn      bool // Attributes changed: publish at the end of the period.
 	periodEnd bool
+	revision  int64 // Highest configuration revision heard of.
+	owners    owners
 }
 
 // publish hands out a view if there is something new in it.
@@ -15,37 +22,48 @@
 	if !t.views.stale && (!t.views.worn || !ended) {
 		return
 	}
-	members := t.views.stale
-	if members {
+	all := t.all()
+	changed := t.views.stale
+	if changed {
 		t.views.version++
+		t.views.owners = newOwners(all)
 	}
 	t.views.stale = false
 	t.views.worn = false
-	t.actions = append(t.actions, Publish{View: t.view(), Members: members})
+	t.actions = append(t.actions, Publish{View: t.view(all), Members: changed})
+}
+
+// compareRevision reports a configuration revision that is new to this VM.
+func (t *Table) compareRevision(e *entry) {
+	revision := e.Attributes.Revision
+	if revision > max(t.views.revision, t.Self.Attributes.Revision) {
+		t.views.revision = revision
+		t.actions = append(t.actions, Behind{VM: e.VM, Revision: revision})
+	}
 }
 
-func (t *Table) view() View {
-	all := make([]VM, 0, len(t.members)+1)
+// all returns every VM that is known, the own one included, by ID.
+func (t *Table) all() []VM {
 	self := t.Self
 	self.Heard = t.now
-	inserted := false
-	for _, id := range sortedKeys(t.members) {
-		if !inserted && t.Self.ID < id {
-			all = append(all, self)
-			inserted = true
-		}
-		all = append(all, t.members[id].VM)
-	}
-	if !inserted {
-		all = append(all, self)
+	all := make([]VM, 0, len(t.sorted)+1)
+	for _, e := range t.sorted {
+		all = append(all, e.VM)
 	}
+	at, _ := slices.BinarySearchFunc(all, self, byID)
+	return slices.Insert(all, at, self)
+}
+
+func (t *Table) view(all []VM) View {
 	return View{
-		Self:    self,
+		Self:    t.Self,
 		Version: t.views.version,
 		Epoch:   t.trust.epoch,
 		Doubt:   t.trust.doubt,
 		CutOff:  t.trust.cutOff,
 		members: all,
-		owners:  newOwners(all),
+		owners:  t.views.owners,
 	}
 }
+
+func byID(a, b VM) int { return strings.Compare(a.ID, b.ID) }
