Assemble whole nodes, the demo and the command line

Cause: the slices have to run as one process for each VM, and a stranger needs one command that shows the whole path. Change: package node (assembly, readiness, planned stop), demo (a deployment in one process), cmds (serve, note, domain, status, ledger, demo, standin, version), README.

--- a/admin/server.go
+++ b/admin/server.go
@@ -84,6 +84,18 @@
 	Stages   int    `json:"stages"`
 }
 
+// Record is the ledger's record of a non-idempotent stage call.
+type Record struct {
+	Account     string          `json:"account"`
+	Key         string          `json:"key"`
+	Stage       string          `json:"stage"`
+	State       string          `json:"state"`
+	Token       string          `json:"token"` // Starts with the VM that may dispatch the call.
+	Fingerprint string          `json:"fingerprint"`
+	CreatedMS   int64           `json:"created_ms"` // Creation time of the key in Unix milliseconds.
+	Result      json.RawMessage `json:"result,omitempty"`
+}
+
 // Accepted is the answer to an accepted release note.
 type Accepted struct {
 	NoteID   string   `json:"note_id"`
--- /dev/null
+++ b/cmds/standin.go
@@ -0,0 +1,114 @@
+package cmds
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net/netip"
+	"os"
+	"strings"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"bergamotworks/emul"
+	"bergamotworks/note"
+	"bergamotworks/ports"
+	"bergamotworks/store"
+)
+
+func (s *shell) standinCommand() *ffcli.Command {
+	return s.command(&ffcli.Command{
+		Name:        "standin",
+		ShortUsage:  "bergamotworks standin <store|targets> [flags]",
+		ShortHelp:   "Run a stand-in for the key-value service or for targets.",
+		Subcommands: []*ffcli.Command{s.standinStore(), s.standinTargets()},
+		Exec:        needSubcommand,
+	})
+}
+
+func (s *shell) standinStore() *ffcli.Command {
+	var listen string
+	flags := flag.NewFlagSet("store", flag.ContinueOnError)
+	flags.StringVar(&listen, "listen", "127.0.0.1:2379", "address, IP:port")
+	return s.command(&ffcli.Command{
+		Name: "store", ShortUsage: "bergamotworks standin store [flags]", FlagSet: flags,
+		ShortHelp: "Run an in-memory key-value service in the JSON gateway format of etcd v3.",
+		Exec: func(ctx context.Context, args []string) error {
+			if err := noArguments(args); err != nil {
+				return err
+			}
+			if _, err := netip.ParseAddrPort(listen); err != nil {
+				return badSetting("listen", "%q is not IP:port", listen)
+			}
+			memory := &store.Memory{Clock: ports.SystemClock{}}
+			server := &store.Server{Store: memory, Network: ports.SystemNetwork{}, Address: listen}
+			address, err := server.Listen()
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(s.stdout, "store stand-in on %s\n", address)
+			return server.Run(ctx)
+		},
+	})
+}
+
+func (s *shell) standinTargets() *ffcli.Command {
+	var deployment, file string
+	var port int
+	flags := flag.NewFlagSet("targets", flag.ContinueOnError)
+	flags.StringVar(&deployment, "deployment", "toits_unis", "shipped release note: "+strings.Join(note.ShippedNames(), " or "))
+	flags.IntVar(&port, "base-port", 21001, "port of the first target on 127.0.0.1")
+	flags.StringVar(&file, "note", "", "file for the release note with the targets' addresses; empty prints nothing")
+	return s.command(&ffcli.Command{
+		Name: "targets", ShortUsage: "bergamotworks standin targets [flags]", FlagSet: flags,
+		ShortHelp: "Run stand-ins for all targets of a shipped release note.",
+		Exec: func(ctx context.Context, args []string) error {
+			if err := noArguments(args); err != nil {
+				return err
+			}
+			if port < 1 || port > 65000 {
+				return badSetting("base-port", "%d is not from 1 to 65000", port)
+			}
+			return s.runTargets(ctx, deployment, port, file)
+		},
+	})
+}
+
+func (s *shell) runTargets(ctx context.Context, deployment string, port int, file string) error {
+	shipped, err := note.Shipped(deployment)
+	if err != nil {
+		return badSetting("deployment", "%q is not %s", deployment, strings.Join(note.ShippedNames(), " or "))
+	}
+	config, err := note.Apply(note.Config{}, shipped)
+	if err != nil {
+		return err
+	}
+	fleet := &emul.Fleet{Config: config, Network: ports.SystemNetwork{}, Clock: ports.SystemClock{}, BasePort: port}
+	config, err = fleet.Start()
+	if err != nil {
+		return err
+	}
+	defer func() { _ = fleet.Close() }()
+	fmt.Fprintf(s.stdout, "%d targets from 127.0.0.1:%d\n", len(config.Sections.Targets), port)
+	if file != "" {
+		shipped.Added.Targets = config.Sections.Targets
+		if err := s.writeNote(file, shipped); err != nil {
+			return err
+		}
+	}
+	<-ctx.Done()
+	return nil
+}
+
+func (s *shell) writeNote(path string, n note.Note) error {
+	file, err := os.Create(path) //nolint:gosec // The operator names the file.
+	if err != nil {
+		return badSetting("note", "%s", err)
+	}
+	out := shell{stdout: file}
+	if err := out.printJSON(n); err != nil {
+		_ = file.Close()
+		return err
+	}
+	return file.Close()
+}
--- /dev/null
+++ b/cmds/status.go
@@ -0,0 +1,99 @@
+package cmds
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"text/tabwriter"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"bergamotworks/admin"
+	"bergamotworks/pool"
+	"bergamotworks/target"
+)
+
+func (s *shell) statusCommand() *ffcli.Command {
+	var c client
+	var asJSON bool
+	flags := flag.NewFlagSet("status", flag.ContinueOnError)
+	c.register(flags)
+	flags.BoolVar(&asJSON, "json", false, "print JSON")
+	return s.command(&ffcli.Command{
+		Name: "status", ShortUsage: "bergamotworks status [flags]", FlagSet: flags,
+		ShortHelp: "Show the state of nodes, targets, failure domains and pipelines.",
+		Exec: func(_ context.Context, args []string) error {
+			if err := noArguments(args); err != nil {
+				return err
+			}
+			states, err := c.statuses()
+			if err != nil {
+				return err
+			}
+			if asJSON {
+				return s.printJSON(states)
+			}
+			return s.printStatus(states)
+		},
+	})
+}
+
+// statuses asks every named node. It fails only if none answers.
+func (c *client) statuses() ([]admin.Status, error) {
+	if err := c.check(); err != nil {
+		return nil, err
+	}
+	var states []admin.Status
+	var failure error
+	for _, a := range c.list() {
+		var state admin.Status
+		if err := c.call(a, "GET", "/v1/status", nil, &state); err != nil {
+			failure = err
+			continue
+		}
+		states = append(states, state)
+	}
+	if len(states) == 0 {
+		return nil, failure
+	}
+	return states, nil
+}
+
+func (s *shell) printStatus(states []admin.Status) error {
+	first := states[0]
+	w := tabwriter.NewWriter(s.stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(w, "as seen by %s, revision %d\n\n", first.VM, first.Revision)
+	fmt.Fprintln(w, "VM\tDOMAIN\tSTATE\tINCARNATION\tREVISION\tREADY")
+	for _, m := range first.Members {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%t\n", m.VM, m.Domain, m.State, m.Incarnation, m.Revision, m.Ready)
+	}
+	fmt.Fprintln(w, "\nDOMAIN\tSTATE")
+	for _, d := range first.Domains {
+		fmt.Fprintf(w, "%s\t%s\n", d.Domain, d.State)
+	}
+	fmt.Fprintln(w, "\nPIPELINE\tCLASS\tSTAGES")
+	for _, p := range first.Paths {
+		fmt.Fprintf(w, "%s\t%s\t%d\n", p.Pipeline, p.Class, p.Stages)
+	}
+	fmt.Fprintln(w, "\nOWNER\tPOOL\tTARGET\tSTATE\tLIMIT\tIN FLIGHT\tQUEUED")
+	for _, n := range states {
+		for _, p := range n.Pools {
+			for _, t := range p.Targets {
+				fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\t%d\n", n.VM, p.Pool, t.Name, targetState(t), t.Limit, t.Occupied, p.Queued)
+			}
+		}
+	}
+	return w.Flush()
+}
+
+// targetState names the phase of a target and why it is not warm.
+func targetState(t pool.TargetStatus) string {
+	switch {
+	case !t.Open:
+		return "closed"
+	case t.Phase == target.Warm:
+		return t.Phase.String()
+	default:
+		return t.Phase.String() + " (" + t.Cause.String() + ")"
+	}
+}
--- /dev/null
+++ b/demo/tour.go
@@ -0,0 +1,123 @@
+package demo
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"text/tabwriter"
+
+	"github.com/google/uuid"
+	"github.com/valyala/fasthttp"
+
+	"bergamotworks/entry"
+	"bergamotworks/fault"
+	"bergamotworks/flow"
+	"bergamotworks/note"
+)
+
+// Tour sends one request to each pipeline of a system and prints the answers.
+type Tour struct {
+	System *System
+	Output io.Writer
+}
+
+// Run sends the requests, each to another node.
+func (t *Tour) Run() error {
+	config := t.System.Config()
+	account := firstAccount(config)
+	addresses := t.System.Addresses()
+	for i, name := range pipelineNames(config) {
+		answer, err := t.ask(addresses[i%len(addresses)], account, name)
+		if err != nil {
+			return err
+		}
+		if err := t.print(name, answer); err != nil {
+			return err
+		}
+	}
+	t.printHint(addresses[0], account, config)
+	return nil
+}
+
+// printHint prints a command that works while the system runs.
+func (t *Tour) printHint(address, account string, config note.Config) {
+	name := streamedPipeline(config)
+	fmt.Fprintf(t.Output, "Try it while it runs:\n\n  curl -N http://%s%s%s -H '%s: %s' -H 'Content-Type: application/json' -d '{\"input\": \"Does the warranty cover a torn seam?\", \"stream\": true}'\n\n",
+		address, "/v1/pipelines/", name, entry.HeaderAccount, account)
+}
+
+func firstAccount(config note.Config) string {
+	var names []string
+	for n := range config.Sections.Accounts {
+		names = append(names, n)
+	}
+	return slices.Min(names)
+}
+
+func pipelineNames(config note.Config) []string {
+	var names []string
+	for n := range config.Sections.Pipelines {
+		names = append(names, n)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// streamedPipeline returns the first pipeline that ends in a generate stage.
+func streamedPipeline(config note.Config) string {
+	for _, n := range pipelineNames(config) {
+		stages := config.Sections.Pipelines[n].Stages
+		if config.Sections.Services[stages[len(stages)-1].Service].Kind == note.Generate {
+			return n
+		}
+	}
+	return ""
+}
+
+func (t *Tour) ask(address, account, pipeline string) (flow.Answer, error) {
+	request := fasthttp.AcquireRequest()
+	response := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	key, err := uuid.NewV7()
+	if err != nil {
+		return flow.Answer{}, err
+	}
+	request.SetRequestURI("http://" + address + "/v1/pipelines/" + pipeline)
+	request.Header.SetMethod(fasthttp.MethodPost)
+	request.Header.SetContentType("application/json")
+	request.Header.Set(entry.HeaderAccount, account)
+	request.Header.Set(entry.HeaderKey, key.String())
+	request.SetBodyString(`{"input": "A question about ` + pipeline + `"}`)
+	if err := fasthttp.Do(request, response); err != nil {
+		return flow.Answer{}, err
+	}
+	if response.StatusCode() != fasthttp.StatusOK {
+		return flow.Answer{}, fault.New(fault.Internal, fault.MayHaveRun, "pipeline %s: %s", pipeline, response.Body())
+	}
+	var answer flow.Answer
+	err = json.Unmarshal(response.Body(), &answer)
+	return answer, err
+}
+
+func (t *Tour) print(pipeline string, answer flow.Answer) error {
+	fmt.Fprintf(t.Output, "%s  request %s\n", pipeline, answer.RequestID)
+	fmt.Fprintf(t.Output, "  %s\n", shorten(string(answer.Output)))
+	w := tabwriter.NewWriter(t.Output, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "  STAGE\tTARGET\tDOMAIN\tQUEUE MS\tSERVICE MS\tTOKENS")
+	for _, s := range answer.Stages {
+		fmt.Fprintf(w, "  %s\t%s\t%s\t%.1f\t%.1f\t%d\n", s.Stage, s.Target, s.Domain, s.QueueMS, s.ServiceMS, s.Tokens)
+	}
+	fmt.Fprintln(w)
+	return w.Flush()
+}
+
+const longestOutput = 100 // Characters of an answer that are printed.
+
+func shorten(text string) string {
+	if len(text) <= longestOutput {
+		return text
+	}
+	return text[:longestOutput] + "..."
+}
--- /dev/null
+++ b/node/bench_test.go
@@ -0,0 +1,69 @@
+package node
+
+import (
+	"runtime"
+	"strconv"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// BenchmarkLookup measures unstreamed single-stage lookups through one node
+// before instant targets. It reports the rate for each core that the process
+// used, callers and targets included.
+func BenchmarkLookup(b *testing.B) {
+	f := newFleet(b, 1)
+	address := f.nodes[0].Address()
+	var next atomic.Int64
+	post(b, address, "lookup", "", "warm")
+	b.ReportAllocs()
+	before := cpuTime(b)
+	started := time.Now()
+	b.ResetTimer()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			if status, body := post(b, address, "lookup", "", next.Add(1)); status != 200 {
+				b.Errorf("status %d: %s", status, body)
+			}
+		}
+	})
+	used := cpuTime(b) - before
+	b.ReportMetric(float64(b.N)/used.Seconds(), "req/core-s")
+	b.ReportMetric(float64(b.N)/time.Since(started).Seconds(), "req/s")
+}
+
+// BenchmarkAddedLatency measures one lookup at a time through a node, and the
+// same call straight to the target.
+func BenchmarkAddedLatency(b *testing.B) {
+	f := newFleet(b, 1)
+	for _, path := range []string{"direct", "node"} {
+		b.Run(path, func(b *testing.B) {
+			h := hdrhistogram.New(1, int64(10*time.Second), 3)
+			for i := range b.N {
+				started := time.Now()
+				if path == "node" {
+					post(b, f.nodes[0].Address(), "lookup", "", strconv.Itoa(i))
+				} else {
+					post(b, f.targets[0].listener.Addr().String(), "lookup", "", strconv.Itoa(i))
+				}
+				_ = h.RecordValue(int64(time.Since(started)))
+			}
+			b.ReportMetric(float64(h.ValueAtQuantile(50))/1000, "p50-us")
+			b.ReportMetric(float64(h.ValueAtQuantile(99))/1000, "p99-us")
+		})
+	}
+	runtime.KeepAlive(f)
+}
+
+// cpuTime returns the processor time that the process has used.
+func cpuTime(b *testing.B) time.Duration {
+	b.Helper()
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
