Feed cache events of engines to the pools

Cause: the prefix index learned only from own dispatches, and the prefix of a prompt was hashed in another way than engines hash their cache blocks. Change: the owner reads cache events after a load report with a new sequence number; a gap skips a batch number, which makes the pool drop that target's entries. Prefixes are hashed over whole blocks of 64 bytes, at most four. Conclusion: hints now come from engines as well.

--- a/flow/stage.go
+++ b/flow/stage.go
@@ -38,6 +38,7 @@
 }
 
 const (
+	prefixBlock = 64  // Engines cache prompts in blocks of so many bytes.
 	prefixBytes = 256 // Length of the prompt's prefix that chooses among caches.
 	refusalWait = 20 * time.Millisecond
 	longestWait = 500 * time.Millisecond
@@ -179,13 +180,18 @@
 	return g.run.service.Config().Sections.Services[g.stage.Service].Kind == note.Generate
 }
 
-// prefix hashes the start of the prompt of a generate stage; zero for others.
+// prefix hashes the first whole blocks of the prompt of a generate stage, as
+// engines do for their cache events. It is zero for other stages.
 func (g *stageRun) prefix() uint64 {
 	if !g.generates() {
 		return 0
 	}
 	prompt := engine.Prompt(g.run.request.Input, g.previous)
-	return xxhash.Sum64String(prompt[:min(len(prompt), prefixBytes)])
+	length := min(len(prompt), prefixBytes) / prefixBlock * prefixBlock
+	if length == 0 {
+		return 0
+	}
+	return xxhash.Sum64String(prompt[:length])
 }
 
 // note reports the cost of an attempt and what to avoid in the next one.
--- a/owner/owned.go
+++ b/owner/owned.go
@@ -19,6 +19,7 @@
 	ticked  time.Time // Last tick in trust, or begin of the suspension.
 	epoch   uint64    // Epoch of the membership at the last tick.
 	paused  bool
+	feeds   map[string]feed // Cache events by target.
 }
 
 // waiter is a call between its submission and its end.
--- a/owner/report.go
+++ b/owner/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"bergamotworks/engine"
@@ -38,10 +39,54 @@
 			continue
 		}
 		o.step(s.Clock.Now(), pool.Reported{Target: n, Load: loadReport(report)})
+		s.pollCache(ctx, o, n, address, report.CacheSequence)
 	}
 	return len(names)
 }
 
+// feed is how far the cache events of a target have been read. It is used by
+// loopReports alone.
+type feed struct {
+	sequence int64  // Last event read.
+	batch    uint64 // Number of batches passed to the pool, gaps counted.
+}
+
+// pollCache reads the cache events of a target that has new ones. A batch after
+// a gap gets a number that shows it.
+func (s *Service) pollCache(ctx context.Context, o *owned, target, address string, sequence int64) {
+	f := o.feeds[target]
+	if sequence == f.sequence {
+		return
+	}
+	limited, cancel := context.WithTimeout(ctx, pollInterval)
+	defer cancel()
+	events, err := s.Engine.CacheEvents(limited, target, address, f.sequence)
+	if err != nil {
+		s.Metrics.GetOrCreateCounter("owner_poll_errors_total").Inc()
+		return
+	}
+	f.batch++
+	if events.Gap {
+		f.batch++
+	}
+	f.sequence = events.Sequence
+	o.feeds[target] = f
+	o.step(s.Clock.Now(), pool.CacheReported{
+		Target: target, Sequence: f.batch, Added: prefixes(events.Added), Removed: prefixes(events.Removed),
+	})
+}
+
+// prefixes parses prefix hashes; names of another form are left out.
+func prefixes(names []string) []uint64 {
+	hashes := make([]uint64, 0, len(names))
+	for _, n := range names {
+		if h, err := strconv.ParseUint(n, 16, 64); err == nil {
+			hashes = append(hashes, h)
+		}
+	}
+	return hashes
+}
+
 func loadReport(report engine.LoadReport) pool.LoadReport {
 	return pool.LoadReport{
 		Incarnation: uint64(report.Incarnation),
--- a/owner/service.go
+++ b/owner/service.go
@@ -22,6 +22,7 @@
 type Engine interface {
 	Do(ctx context.Context, call engine.Call, onChunk func(engine.Chunk)) (engine.Answer, error)
 	Load(ctx context.Context, target, address string) (engine.LoadReport, error)
+	CacheEvents(ctx context.Context, target, address string, since int64) (engine.CacheEvents, error)
 }
 
 // Caller calls methods of other nodes.
@@ -179,6 +180,7 @@
 		clock:   s.Clock,
 		pool:    &pool.Pool{Spec: spec, Config: config, Policy: s.Policy, Nodes: len(view.Live())},
 		waiting: make(map[string]*waiter),
+		feeds:   make(map[string]feed),
 		ticked:  now,
 		epoch:   view.Epoch,
 	}
--- a/owner/service_test.go
+++ b/owner/service_test.go
@@ -206,6 +206,11 @@
 	return engine.LoadReport{Incarnation: 1, Running: w.running}, nil
 }
 
+// CacheEvents reports nothing.
+func (w *world) CacheEvents(context.Context, string, string, int64) (engine.CacheEvents, error) {
+	return engine.CacheEvents{}, nil
+}
+
 // Call takes handovers.
 func (w *world) Call(_ context.Context, vm, method string, params, _ any) error {
 	w.mutex.Lock()
