Print medians of the spreading runs

Cause: the figures of the design note were read off lists by eye. Conclusion: no change of behaviour.

--- a/conf/spread_test.go
+++ b/conf/spread_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -34,8 +35,8 @@
 				bytes = append(bytes, sent)
 			})
 		}
-		t.Logf("milliseconds until in force: %v", times)
-		t.Logf("bytes between peers for each node: %v", bytes)
+		t.Logf("milliseconds until in force: %s", spreadOf(times))
+		t.Logf("bytes between peers for each node: %s", spreadOf(bytes))
 		for seed, took := range times {
 			if took > data.LimitMS {
 				t.Errorf("seed %d took %d ms", seed, took)
@@ -96,3 +97,8 @@
 		a.dead = append(a.dead, vm)
 	}
 }
+
+func spreadOf(values []int64) string {
+	sorted := slices.Sorted(slices.Values(values))
+	return fmt.Sprintf("median %d, most %d of %d runs", sorted[len(sorted)/2], sorted[len(sorted)-1], len(sorted))
+}
