Bound the runs and answers that a home keeps

Cause: finished runs were bounded in number but not in bytes, runs in progress not at all. Measured: scripts of flow pass five times under the race detector. Conclusion: memory for repeats has a stated bound.

--- a/flow/run.go
+++ b/flow/run.go
@@ -93,7 +93,10 @@
 		return r, nil
 	}
 	if r != nil {
-		s.finished--
+		s.forget(key, r)
+	}
+	if len(s.runs)-s.finished >= maxActive {
+		return nil, fault.New(fault.Busy, fault.NotRun, "the node runs %d requests", maxActive).WithRetryAfter(fullWait)
 	}
 	r, err := s.newRun(key, request, now)
 	if err != nil {
@@ -152,6 +155,7 @@
 	s.mutex.Lock()
 	r.ended = now
 	s.finished++
+	s.kept += r.size()
 	s.mutex.Unlock()
 	if s.Record != nil {
 		s.Record(r.outcome(now))
@@ -227,6 +231,15 @@
 	}
 }
 
+// size returns the bytes of a finished run's answer.
+func (r *run) size() int {
+	size := len(r.answer.Output)
+	for _, c := range r.chunks {
+		size += len(c.Text)
+	}
+	return size
+}
+
 func (r *run) limit() time.Time {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
--- a/flow/service.go
+++ b/flow/service.go
@@ -65,6 +65,7 @@
 	mutex    sync.Mutex // Guards the fields below.
 	runs     map[string]*run
 	finished int // Runs that are kept for repeats.
+	kept     int // Bytes of their answers.
 	chooser  *route.Chooser
 	poison   poison.Table
 	budget   retry.Budget
@@ -77,7 +78,11 @@
 	abandonAfter = 300 * time.Millisecond
 	// keepAnswer is the time for which a finished run answers repeats.
 	keepAnswer  = 10 * time.Second
-	maxFinished = 4096 // Finished runs that are kept at most.
+	maxFinished = 4096     // Finished runs that are kept at most.
+	maxKept     = 32 << 20 // Bytes of their answers that are kept at most.
+	maxActive   = 16384    // Runs in progress at most.
+	// fullWait is the wait asked of callers while maxActive is reached.
+	fullWait = 500 * time.Millisecond
 )
 
 func (s *Service) init() {
@@ -174,13 +179,19 @@
 		switch {
 		case r.ended.IsZero():
 			r.cancelIfAbandoned(now)
-		case now.Sub(r.ended) > keepAnswer || s.finished > maxFinished:
-			s.finished--
-			delete(s.runs, k)
+		case now.Sub(r.ended) > keepAnswer || s.finished > maxFinished || s.kept > maxKept:
+			s.forget(k, r)
 		}
 	}
 }
 
+// forget drops a finished run.
+func (s *Service) forget(key string, r *run) {
+	s.finished--
+	s.kept -= r.size()
+	delete(s.runs, key)
+}
+
 // homeKey is the key whose owner is the home of a request.
 func homeKey(fingerprint uint64) string {
 	return "request/" + strconv.FormatUint(fingerprint, 16)
