Run stand-ins over a network inside the process

Cause: the experiment tool's own tests need many stand-ins and a node in one synctest bubble; the test's network knew a single listener.

Change: emul.Memory, a network of streams inside one process, replaces it. The unused longest time of a run is dropped from the witness.

--- /dev/null
+++ b/emul/memory.go
@@ -0,0 +1,68 @@
+package emul
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+
+	"github.com/valyala/fasthttp/fasthttputil"
+
+	"bergamotworks/ports"
+)
+
+// Memory is a network of streams inside one process. It opens no socket, so
+// that tests can run over it in a synctest bubble. The zero value is ready.
+type Memory struct {
+	ports.SystemNetwork // For datagrams only.
+
+	mutex     sync.Mutex
+	listeners map[string]*memoryListener
+	lastPort  int
+}
+
+// memoryListener is a listener with an address of its own.
+type memoryListener struct {
+	*fasthttputil.InmemoryListener
+	address memoryAddress
+}
+
+// memoryAddress is the address of a listener.
+type memoryAddress string
+
+// Network returns the name of the network.
+func (memoryAddress) Network() string { return "memory" }
+
+// String returns the address.
+func (a memoryAddress) String() string { return string(a) }
+
+// Addr returns the address of the listener.
+func (l *memoryListener) Addr() net.Addr { return l.address }
+
+// Listen accepts streams at the address. The port 0 stands for a free one.
+func (m *Memory) Listen(address string) (net.Listener, error) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if host, found := strings.CutSuffix(address, ":0"); found {
+		m.lastPort++
+		address = fmt.Sprintf("%s:%d", host, m.lastPort)
+	}
+	if m.listeners == nil {
+		m.listeners = make(map[string]*memoryListener)
+	}
+	l := &memoryListener{InmemoryListener: fasthttputil.NewInmemoryListener(), address: memoryAddress(address)}
+	m.listeners[address] = l
+	return l, nil
+}
+
+// Dial opens a stream to a listener.
+func (m *Memory) Dial(_ context.Context, address string) (net.Conn, error) {
+	m.mutex.Lock()
+	l := m.listeners[address]
+	m.mutex.Unlock()
+	if l == nil {
+		return nil, fasthttputil.ErrInmemoryListenerClosed
+	}
+	return l.Dial()
+}
--- a/emul/target_test.go
+++ b/emul/target_test.go
@@ -4,14 +4,12 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
-	"github.com/valyala/fasthttp/fasthttputil"
 
 	"bergamotworks/engine"
 	"bergamotworks/fault"
@@ -91,7 +89,7 @@
 			{Name: "one", Service: "s", Idempotent: true, MaxTokens: 10},
 		}}},
 	}}
-	network := &memory{}
+	network := &Memory{}
 	b := &bench{t: t, service: v.Service}
 	b.fleet = &Fleet{Config: config, Network: network, Clock: ports.SystemClock{}, Warm: v.Warm}
 	placed, err := b.fleet.Start()
@@ -173,23 +171,3 @@
 		b.t.Error("a refused call must say not run")
 	}
 }
-
-// memory is a network inside the process.
-type memory struct {
-	ports.SystemNetwork
-	mutex    sync.Mutex
-	listener *fasthttputil.InmemoryListener
-}
-
-func (m *memory) Listen(string) (net.Listener, error) {
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	m.listener = fasthttputil.NewInmemoryListener()
-	return m.listener, nil
-}
-
-func (m *memory) Dial(context.Context, string) (net.Conn, error) {
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	return m.listener.Dial()
-}
--- a/emul/witness.go
+++ b/emul/witness.go
@@ -23,10 +23,9 @@
 	Service string `json:"service"`
 	Runs    int    `json:"runs"`
 	// Keyed is the number of runs of non-idempotent calls.
-	Keyed   int           `json:"keyed"`
-	Busy    time.Duration `json:"busy_ns"`
-	Longest time.Duration `json:"longest_ns"` // The longest of the runs.
-	Tokens  int           `json:"tokens"`
+	Keyed  int           `json:"keyed"`
+	Busy   time.Duration `json:"busy_ns"`
+	Tokens int           `json:"tokens"`
 }
 
 // begin counts the start of a run.
@@ -48,7 +47,6 @@
 	defer w.mutex.Unlock()
 	c := w.costs[key]
 	c.Busy += busy
-	c.Longest = max(c.Longest, busy)
 	c.Tokens += tokens
 	w.set(key, c)
 }
