Add the experiment tool

Cause: attainment, cost and every property under faults have to be measured on whole nodes, judged from outside.

The system under test stands behind the interface System.

No run against whole nodes yet.

--- /dev/null
+++ b/trial/faults.go
@@ -0,0 +1,281 @@
+package trial
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"bergamotworks/emul"
+	"bergamotworks/fault"
+	"bergamotworks/note"
+)
+
+// poisonText is the text that crashes targets in the poison script.
+const poisonText = "poison-pill"
+
+// operator carries out the events of a script.
+type operator struct {
+	load   *load
+	fleet  *emul.Fleet
+	marks  []Mark
+	errors []string
+	races  []raceResult
+	count  int
+}
+
+// Mark is an event of the run, for plots and tables.
+type Mark struct {
+	AtMS int64  `json:"at_ms"`
+	What string `json:"what"`
+	// TookMS is the time until the event had been carried out.
+	TookMS int64 `json:"took_ms"`
+}
+
+// run carries out the events in their order.
+func (o *operator) run(ctx context.Context) {
+	events := slices.Clone(o.load.script.Events)
+	slices.SortStableFunc(events, func(a, b Event) int { return int(a.AtMS - b.AtMS) })
+	for _, e := range events {
+		o.load.sleep(ctx, o.load.started.Add(milliseconds(e.AtMS)))
+		if ctx.Err() != nil {
+			return
+		}
+		begun := o.load.clock.Now()
+		if err := o.do(ctx, e); err != nil {
+			o.errors = append(o.errors, fmt.Sprintf("%s at %d ms: %s", e.Do, e.AtMS, err))
+		}
+		o.marks = append(o.marks, Mark{
+			AtMS: begun.Sub(o.load.started).Milliseconds(), What: o.describe(e),
+			TookMS: o.load.clock.Now().Sub(begun).Milliseconds(),
+		})
+	}
+}
+
+func (o *operator) describe(e Event) string {
+	switch e.Do {
+	case SetLoad:
+		return fmt.Sprintf("load %g", e.LoadShare)
+	case TakeDomainOut, BringDomainBack:
+		return fmt.Sprintf("%s %s", e.Do, o.domain(e.Index))
+	case KillNode, StopNode, RestartNode, RaceOperators:
+		return fmt.Sprintf("%s %d", e.Do, e.Index)
+	case BreakStore:
+		return e.Store.String()
+	default:
+		return fmt.Sprintf("%s %s %d", e.Do, e.Kind, e.Index)
+	}
+}
+
+func (o *operator) do(ctx context.Context, e Event) error {
+	switch e.Do {
+	case SetLoad:
+		o.load.setShare(e.LoadShare)
+		return nil
+	case TakeDomainOut:
+		return o.setDomain(ctx, e.Index, note.OutOfService)
+	case BringDomainBack:
+		return o.setDomain(ctx, e.Index, note.InService)
+	case BreakStore:
+		return o.load.system.SetStore(e.Store)
+	case KillNode:
+		return o.load.system.KillNode(e.Index)
+	case StopNode:
+		return o.load.system.StopNode(e.Index)
+	case RestartNode:
+		return o.load.system.RestartNode(e.Index)
+	case RaceOperators:
+		return o.race(ctx, e.Index)
+	default:
+		return o.doTargets(ctx, e)
+	}
+}
+
+// doTargets carries out an event at one target or at all of a service.
+func (o *operator) doTargets(ctx context.Context, e Event) error {
+	service, ok := o.service(e.Kind)
+	targets := o.fleet.OfService(service)
+	if !ok || len(targets) == 0 {
+		return fault.New(fault.NotFound, fault.NotRun, "no targets of kind %s", e.Kind)
+	}
+	one := targets[e.Index%len(targets)]
+	switch e.Do {
+	case KillTarget:
+		one.Kill()
+	case RestartTarget:
+		return one.Restart()
+	case TurnCold:
+		one.TurnCold()
+	case SilenceTarget:
+		one.Silent()
+	case PoisonService:
+		o.poison(ctx, service, targets)
+	default:
+		return each(targets, e)
+	}
+	return nil
+}
+
+func each(targets []*emul.Target, e Event) error {
+	for _, t := range targets {
+		switch e.Do {
+		case KillService:
+			t.Kill()
+		case SlowService:
+			t.Slow(e.Factor)
+		case SilenceService:
+			t.Silent()
+		case RestartService:
+			if err := t.Restart(); err != nil {
+				return err
+			}
+		default:
+			return fault.New(fault.Invalid, fault.NotRun, "unknown action %s", e.Do)
+		}
+	}
+	return nil
+}
+
+// service returns the name of the first service of a kind.
+func (o *operator) service(kind note.StageKind) (string, bool) {
+	services := o.load.config.Sections.Services
+	for _, name := range slices.Sorted(maps.Keys(services)) {
+		if services[name].Kind == kind {
+			return name, true
+		}
+	}
+	return "", false
+}
+
+func (o *operator) domain(index int) string {
+	names := slices.Sorted(maps.Keys(o.load.config.Sections.Domains))
+	return names[index%len(names)]
+}
+
+// setDomain offers a note that changes the state of a failure domain. The
+// stand-ins of the domain count late starts from the acceptance on.
+func (o *operator) setDomain(ctx context.Context, index int, state note.State) error {
+	name := o.domain(index)
+	config := o.load.system.Config()
+	domain := config.Sections.Domains[name]
+	domain.State = state
+	err := o.load.system.Accept(ctx, note.Note{
+		ID:           o.noteID(),
+		BaseRevision: config.Revision,
+		Author:       "trial",
+		Changed:      note.Sections{Domains: map[string]note.FailureDomain{name: domain}},
+	})
+	if err != nil {
+		return err
+	}
+	for _, t := range o.fleet.InDomain(name) {
+		if state == note.OutOfService {
+			t.Depart()
+		} else {
+			t.Return()
+		}
+	}
+	return nil
+}
+
+func (o *operator) noteID() string {
+	o.count++
+	return fmt.Sprintf("trial-%s-%d", o.load.script.Name, o.count)
+}
+
+// poison makes a text crash the targets and starts a caller that sends it.
+func (o *operator) poison(ctx context.Context, service string, targets []*emul.Target) {
+	for _, t := range targets {
+		t.Poison(poisonText)
+	}
+	pipeline, ok := o.pipelineOf(service)
+	if !ok {
+		return
+	}
+	planner := newPlanner(o.load.script, o.load.config)
+	request := planner.request(poisonText, pipeline, planner.pick(planner.accounts))
+	request.tallied = false
+	request.poison = true
+	o.load.launch(ctx, request)
+}
+
+// pipelineOf returns the first idempotent pipeline that uses a service.
+func (o *operator) pipelineOf(service string) (string, bool) {
+	pipelines := o.load.config.Sections.Pipelines
+	for _, name := range slices.Sorted(maps.Keys(pipelines)) {
+		uses := func(s note.Stage) bool { return s.Service == service }
+		if pipelines[name].Idempotent() && slices.ContainsFunc(pipelines[name].Stages, uses) {
+			return name, true
+		}
+	}
+	return "", false
+}
+
+// raceResult is the outcome of two conflicting notes.
+type raceResult struct {
+	accepted int
+	inForce  bool // The accepted note is the one in force.
+}
+
+// racer offers one of the notes.
+type racer struct {
+	system System
+	change note.Note
+	err    error
+}
+
+func (r *racer) run(ctx context.Context, group *sync.WaitGroup) {
+	defer group.Done()
+	r.err = r.system.Accept(ctx, r.change)
+}
+
+// raceTimeout bounds the wait for an accepted note to be in force.
+const raceTimeout = 5 * time.Second
+
+// race offers two notes that change one account's weight on one base revision.
+func (o *operator) race(ctx context.Context, index int) error {
+	config := o.load.system.Config()
+	names := slices.Sorted(maps.Keys(config.Sections.Accounts))
+	name := names[index%len(names)]
+	var group sync.WaitGroup
+	racers := []*racer{o.racer(config, name, 1), o.racer(config, name, 2)}
+	for _, r := range racers {
+		group.Add(1)
+		go r.run(ctx, &group)
+	}
+	group.Wait()
+	result := raceResult{}
+	for _, r := range racers {
+		if r.err == nil {
+			result.accepted++
+			result.inForce = o.awaitWeight(ctx, name, r.change.Changed.Accounts[name].Weight)
+		}
+	}
+	o.races = append(o.races, result)
+	return nil
+}
+
+func (o *operator) racer(config note.Config, account string, more float64) *racer {
+	changed := config.Sections.Accounts[account]
+	changed.Weight += more
+	return &racer{system: o.load.system, change: note.Note{
+		ID:           o.noteID(),
+		BaseRevision: config.Revision,
+		Author:       "trial",
+		Changed:      note.Sections{Accounts: map[string]note.ClientAccount{account: changed}},
+	}}
+}
+
+// awaitWeight waits until an account's weight is in force.
+func (o *operator) awaitWeight(ctx context.Context, account string, weight float64) bool {
+	limit := o.load.clock.Now().Add(raceTimeout)
+	for o.load.clock.Now().Before(limit) && ctx.Err() == nil {
+		if o.load.system.Config().Sections.Accounts[account].Weight == weight {
+			return true
+		}
+		o.load.pause(ctx)
+	}
+	return false
+}
--- /dev/null
+++ b/trial/print.go
@@ -0,0 +1,106 @@
+package trial
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"text/tabwriter"
+)
+
+// Print writes the result as tables for a terminal.
+func (r Result) Print(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	p := printer{table: t}
+	p.head(r)
+	p.tallies("class", r.Classes)
+	p.tallies("account", r.Accounts)
+	p.times(r)
+	p.costs("stage", r.Stages)
+	p.costs("account", r.AccountCosts)
+	p.properties(r)
+	if p.err != nil {
+		return p.err
+	}
+	return t.Flush()
+}
+
+// printer writes tables and keeps the first error.
+type printer struct {
+	table *tabwriter.Writer
+	err   error
+}
+
+func (p *printer) line(format string, args ...any) {
+	if p.err == nil {
+		_, p.err = fmt.Fprintf(p.table, format+"\n", args...)
+	}
+}
+
+// text writes a line that belongs to no table.
+func (p *printer) text(format string, args ...any) {
+	if p.err == nil {
+		p.err = p.table.Flush()
+	}
+	p.line(format, args...)
+	if p.err == nil {
+		p.err = p.table.Flush()
+	}
+}
+
+func (p *printer) head(r Result) {
+	p.text("%s on %s, policy %s, seed %d", r.Script, r.Deployment, r.Policy, r.Seed)
+	p.text("capacity %.1f/s, offered %.1f/s, attained %.1f/s over %.1f s; caller retries %.2f, internal retries %.3f per request",
+		r.Capacity, r.OfferedPerSecond, r.AttainedPerSecond, milliseconds(r.DurationMS).Seconds(), r.CallerRetries, r.InternalRetries)
+	if r.NotOffered > 0 {
+		p.text("NOT OFFERED: %d requests, too many callers waited", r.NotOffered)
+	}
+	for _, v := range r.Errors {
+		p.text("EVENT FAILED: %s", v)
+	}
+}
+
+func (p *printer) tallies(title string, tallies map[string]Tally) {
+	p.text("")
+	p.line("%s\trequests\tattained\tlate\twrong\tnot run\tmay have run\tattainment\t", title)
+	for _, name := range slices.Sorted(maps.Keys(tallies)) {
+		v := tallies[name]
+		p.line("%s\t%d\t%d\t%d\t%d\t%d\t%d\t%.2f%%\t",
+			name, v.Requests, v.Attained, v.Late, v.Wrong, v.NotRun, v.Open, 100*v.Attainment())
+	}
+}
+
+func (p *printer) times(r Result) {
+	p.text("")
+	p.line("time\tcount\tp50 ms\tp95 ms\tp99 ms\t")
+	rows := []struct {
+		name  string
+		times Percentiles
+	}{{"whole answer", r.Latency}, {"first token", r.FirstToken}, {"between tokens", r.BetweenTokens}}
+	for _, v := range rows {
+		p.line("%s\t%d\t%.1f\t%.1f\t%.1f\t", v.name, v.times.Count, v.times.P50, v.times.P95, v.times.P99)
+	}
+}
+
+func (p *printer) costs(title string, costs map[string]Cost) {
+	p.text("")
+	p.line("cost by %s\tbusy s\twasted s\twasted\ttokens\t", title)
+	for _, name := range slices.Sorted(maps.Keys(costs)) {
+		v := costs[name]
+		p.line("%s\t%.1f\t%.1f\t%.2f%%\t%d\t", name, v.BusyMS/1000, v.WastedMS/1000, 100*v.WastedShare(), v.Tokens)
+	}
+}
+
+func (p *printer) properties(r Result) {
+	p.text("")
+	for _, name := range slices.Sorted(maps.Keys(r.Failures)) {
+		p.text("not answered: %d %s", r.Failures[name], name)
+	}
+	for _, v := range r.Properties {
+		verdict := "pass"
+		if !v.Pass {
+			verdict = "FAIL"
+		}
+		p.text("%s  %s: %g (at most %g)", verdict, v.Name, v.Value, v.Limit)
+	}
+}
