Confirm a withdrawal by a write

The withdrawn record stayed pending, so later repeats got 'may have run' for a call that never ran.

Change: a withdrawal that meets a foreign pending record writes that record with the token barred. Barred tokens are kept over later runs of the key, so a delayed create of a withdrawn run is refused.

Conclusion: only completed records and the floor are final without a write.

--- a/ledger/decide.go
+++ b/ledger/decide.go
@@ -69,7 +69,7 @@
 }
 
 func (s *Shard) decideCreate(c Create, record Record, found bool, nowMS int64) decision {
-	if found && record.State == Withdrawn && record.Token == c.Token {
+	if found && record.Bars(c.Token) {
 		return answered(Revoked, record)
 	}
 	if found && record.State != Withdrawn {
@@ -78,7 +78,11 @@
 	if c.CreatedMS <= s.journal.head.FloorMS {
 		return answered(TooOld, Record{})
 	}
-	return written(Created, c.record(Pending, nowMS))
+	created := c.record(Pending, nowMS)
+	if found {
+		created.Barred = record.WithBarred(record.Token).Barred
+	}
+	return written(Created, created)
 }
 
 func existing(c Create, record Record) decision {
@@ -107,26 +111,33 @@
 		return answered(Stored, record)
 	}
 	completed := c.record(Completed, nowMS)
+	completed.Barred = record.Barred
 	if len(c.Result) > maxInlineBytes {
 		return written(Stored, completed.WithResult(nil, resultKey(s.Index, c.Token)))
 	}
 	return written(Stored, completed.WithResult(c.Result, ""))
 }
 
-// decideWithdraw writes a withdrawn record also where none is found, so that a
-// delayed [Create] of the same token is refused.
+// decideWithdraw bars the token, also where no record is found or another run
+// holds it, so that a delayed [Create] of the token is refused. Only the write
+// confirms that the record read is the present one.
 func (s *Shard) decideWithdraw(w Withdraw, record Record, found bool, nowMS int64) decision {
-	if !found && w.CreatedMS <= s.journal.head.FloorMS {
-		return answered(Removed, Record{})
-	}
-	if found && record.Token != w.Token && record.State != Withdrawn {
+	switch {
+	case !found && w.CreatedMS <= s.journal.head.FloorMS:
 		return answered(Removed, Record{})
-	}
-	if found && record.Token == w.Token && record.State == Completed {
+	case !found:
+		return written(Removed, w.record(Withdrawn, nowMS))
+	case record.Bars(w.Token), record.Token != w.Token && record.State == Completed:
+		return answered(Removed, record)
+	case record.Token != w.Token && record.State == Pending:
+		return written(Removed, record.WithBarred(w.Token))
+	case record.Token == w.Token && record.State == Completed:
 		return answered(Finished, record)
 	}
-	if found && record.Token == w.Token && record.State == Withdrawn {
-		return answered(Removed, record)
+	withdrawn := w.record(Withdrawn, nowMS)
+	withdrawn.Barred = record.Barred
+	if record.Token != w.Token {
+		withdrawn.Barred = record.WithBarred(record.Token).Barred
 	}
-	return written(Removed, w.record(Withdrawn, nowMS))
+	return written(Removed, withdrawn)
 }
--- a/ledger/record.go
+++ b/ledger/record.go
@@ -1,5 +1,7 @@
 package ledger
 
+import "slices"
+
 // State says how far a recorded stage call has come.
 type State int
 
@@ -34,8 +36,16 @@
 	Result []byte `json:"result,omitempty"`
 	// ResultKey is the store key of a result too large to keep in the journal.
 	ResultKey string `json:"result_key,omitempty"`
+	// Barred holds tokens of other runs that were withdrawn and may not
+	// create the record any more, oldest first.
+	Barred []string `json:"barred,omitempty"`
 }
 
+// maxBarred bounds the barred tokens of a record. A create that is delayed
+// until its token has been forgotten leaves a pending record that nobody
+// dispatches.
+const maxBarred = 8
+
 // WithState returns a copy in another state.
 func (r Record) WithState(state State, recordedMS int64) Record {
 	r.State = state
@@ -49,3 +59,15 @@
 	r.ResultKey = resultKey
 	return r
 }
+
+// WithBarred returns a copy in which another token is barred.
+func (r Record) WithBarred(token string) Record {
+	barred := append(slices.Clone(r.Barred), token)
+	r.Barred = barred[max(0, len(barred)-maxBarred):]
+	return r
+}
+
+// Bars reports whether the record keeps a token from creating it.
+func (r Record) Bars(token string) bool {
+	return r.State == Withdrawn && r.Token == token || slices.Contains(r.Barred, token)
+}
