Run experiments against whole systems in the demo's process

Cause: the experiment tool needs a system of real nodes with kills, restarts, store faults and release notes. Change: demo.System implements the tool's interface; trial command with the baseline policies.

--- a/cmds/demo.go
+++ b/cmds/demo.go
@@ -85,8 +85,13 @@
 	if s.logLevel == defaultLogLevel {
 		log.SetLevel(logrus.WarnLevel)
 	}
-	system := &demo.System{Deployment: v.deployment, Nodes: v.nodes, Listen: v.listen, Admin: v.admin, Log: log}
 	started := time.Now()
+	targets, first, err := demo.StandIns(v.deployment)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = targets.Close() }()
+	system := &demo.System{Note: first, Size: v.nodes, Listen: v.listen, Admin: v.admin, Log: log}
 	defer func() { _ = system.Close() }()
 	if err := system.Start(ctx); err != nil {
 		return err
--- a/cmds/root.go
+++ b/cmds/root.go
@@ -108,6 +108,7 @@
 			s.statusCommand(),
 			s.ledgerCommand(),
 			s.demoCommand(),
+			s.trialCommand(),
 			s.standinCommand(),
 			s.versionCommand(),
 		},
--- /dev/null
+++ b/demo/standin.go
@@ -0,0 +1,29 @@
+package demo
+
+import (
+	"github.com/gravitational/trace"
+
+	"bergamotworks/emul"
+	"bergamotworks/note"
+	"bergamotworks/ports"
+)
+
+// StandIns starts stand-ins for all targets of a shipped deployment. It returns
+// them with the release note in which their addresses stand.
+func StandIns(deployment string) (*emul.Fleet, note.Note, error) {
+	shipped, err := note.Shipped(deployment)
+	if err != nil {
+		return nil, note.Note{}, err
+	}
+	config, err := note.Apply(note.Config{}, shipped)
+	if err != nil {
+		return nil, note.Note{}, err
+	}
+	targets := &emul.Fleet{Config: config, Network: ports.SystemNetwork{}, Clock: ports.SystemClock{}}
+	placed, err := targets.Start()
+	if err != nil {
+		return nil, note.Note{}, trace.Wrap(err)
+	}
+	shipped.Added.Targets = placed.Sections.Targets
+	return targets, shipped, nil
+}
--- a/demo/system.go
+++ b/demo/system.go
@@ -2,45 +2,40 @@
 
 import (
 	"context"
-	"fmt"
 	"net"
 	"slices"
 	"strconv"
 	"sync"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/gravitational/trace"
 	"github.com/sirupsen/logrus"
 
-	"bergamotworks/emul"
 	"bergamotworks/fault"
 	"bergamotworks/node"
 	"bergamotworks/note"
 	"bergamotworks/pool"
 	"bergamotworks/ports"
 	"bergamotworks/store"
+	"bergamotworks/trial"
 )
 
 // System is a deployment in one process. The exported fields are set before
 // [System.Start].
 type System struct {
-	Deployment string // Name of a shipped release note.
-	Nodes      int
-	Policy     pool.Policy
+	Note   note.Note // The first release note.
+	Size   int       // Number of nodes.
+	Policy pool.Policy
 	// Listen and Admin are the first node's addresses; empty takes free ports.
 	Listen string
 	Admin  string
-	// Warm says that targets start warm.
-	Warm bool
-	Log  *logrus.Logger
+	Log    *logrus.Logger
 
 	config  note.Config
 	memory  *store.Memory
 	faults  *store.Faults
 	server  *store.Server
 	address string // Of the store.
-	targets *emul.Fleet
 	seeds   []string
 	running sync.WaitGroup
 	mutex   sync.Mutex // Guards nodes.
@@ -61,23 +56,20 @@
 	storeCalls    = 100 // Calls per second of one node.
 )
 
-// Start starts the store, the targets and the nodes, and brings the shipped
-// release note into force with the addresses of the stand-ins.
+// Start starts the store and the nodes, and brings the note into force.
 func (s *System) Start(ctx context.Context) error {
-	shipped, err := note.Shipped(s.Deployment)
+	config, err := note.Apply(note.Config{}, s.Note)
 	if err != nil {
 		return err
 	}
+	s.config = config
 	if err := s.startStore(); err != nil {
 		return err
 	}
-	if err := s.startTargets(&shipped); err != nil {
-		return err
-	}
 	if err := s.startNodes(ctx); err != nil {
 		return err
 	}
-	if _, err := s.Node(0).Notes().Offer(ctx, shipped); err != nil {
+	if err := s.Accept(ctx, s.Note); err != nil {
 		return err
 	}
 	return s.awaitReady(ctx)
@@ -104,28 +96,14 @@
 	}
 }
 
-func (s *System) startTargets(shipped *note.Note) error {
-	config, err := note.Apply(note.Config{}, *shipped)
-	if err != nil {
-		return err
-	}
-	s.targets = &emul.Fleet{Config: config, Network: ports.SystemNetwork{}, Clock: ports.SystemClock{}, Warm: s.Warm}
-	s.config, err = s.targets.Start()
-	if err != nil {
-		return trace.Wrap(err)
-	}
-	shipped.Added.Targets = s.config.Sections.Targets
-	return nil
-}
-
 func (s *System) startNodes(ctx context.Context) error {
-	seeds, err := freeDatagramAddresses(s.Nodes)
+	seeds, err := freeDatagramAddresses(s.Size)
 	if err != nil {
 		return err
 	}
 	s.seeds = seeds
-	s.nodes = make([]*nodeSlot, s.Nodes)
-	for i := range s.Nodes {
+	s.nodes = make([]*nodeSlot, s.Size)
+	for i := range s.Size {
 		if err := s.startNode(ctx, i); err != nil {
 			return err
 		}
@@ -211,8 +189,8 @@
 }
 
 func (s *System) ready() bool {
-	for i := range s.Nodes {
-		if !s.Node(i).Joined(s.Nodes) {
+	for i := range s.Size {
+		if !s.Node(i).Joined(s.Size) {
 			return false
 		}
 	}
@@ -226,30 +204,37 @@
 	return s.nodes[index].node
 }
 
-// Config returns the configuration that the system started with.
-func (s *System) Config() note.Config { return s.config }
-
-// Targets returns the stand-ins of the targets.
-func (s *System) Targets() *emul.Fleet { return s.targets }
+// Nodes returns the number of nodes, those that are down included.
+func (s *System) Nodes() int { return s.Size }
 
-// Store returns the faults of the store.
-func (s *System) Store() *store.Faults { return s.faults }
+// Config returns the newest configuration in force on any node.
+func (s *System) Config() note.Config {
+	newest := s.config
+	for i := range s.Size {
+		if c := s.Node(i).Notes().Current(); c.Revision > newest.Revision {
+			newest = c
+		}
+	}
+	return newest
+}
 
 // StoreCounts returns the calls that the store has received, by kind.
 func (s *System) StoreCounts() map[store.Call]int64 { return s.memory.Counts() }
 
-// Addresses returns the callers' addresses of all nodes.
+// Addresses returns the callers' addresses of the nodes that are ready.
 func (s *System) Addresses() []string {
-	addresses := make([]string, s.Nodes)
-	for i := range addresses {
-		addresses[i] = s.Node(i).Address()
+	var addresses []string
+	for i := range s.Size {
+		if n := s.Node(i); n.Ready() == nil {
+			addresses = append(addresses, n.Address())
+		}
 	}
 	return addresses
 }
 
 // AdminAddresses returns the operators' addresses of all nodes.
 func (s *System) AdminAddresses() []string {
-	addresses := make([]string, s.Nodes)
+	addresses := make([]string, s.Size)
 	for i := range addresses {
 		addresses[i] = s.Node(i).AdminAddress()
 	}
@@ -257,49 +242,54 @@
 }
 
 // KillNode ends a node at once: its sockets close and nothing is said.
-func (s *System) KillNode(index int) {
+func (s *System) KillNode(index int) error {
 	s.mutex.Lock()
 	r := s.nodes[index]
 	s.mutex.Unlock()
 	r.cut.closeAll()
-	_ = r.node.Close()
+	return r.node.Close()
 }
 
-// StopNode stops a node in order.
-func (s *System) StopNode(ctx context.Context, index int) error {
-	return s.Node(index).Stop(ctx)
+// StopNode stops a node in order and waits for its end.
+func (s *System) StopNode(index int) error {
+	return s.Node(index).Stop(context.Background())
 }
 
 // RestartNode starts a new node in the place of one that has ended.
-func (s *System) RestartNode(ctx context.Context, index int) error {
-	return s.startNode(ctx, index)
+func (s *System) RestartNode(index int) error {
+	return s.startNode(context.Background(), index)
 }
 
-// SetDomain offers a release note that sets the state of a failure domain. It
-// goes to the first node that accepts it.
-func (s *System) SetDomain(ctx context.Context, name string, state note.State) error {
+// Accept offers a release note to one node after the other until one accepts it.
+func (s *System) Accept(ctx context.Context, change note.Note) error {
 	var err error
-	for i := range s.Nodes {
-		if err = s.setDomain(ctx, s.Node(i), name, state); err == nil {
-			return nil
+	for i := range s.Size {
+		_, err = s.Node(i).Notes().Offer(ctx, change)
+		if err == nil || fault.From(err).Kind == fault.Conflict {
+			return err
 		}
 	}
 	return err
 }
 
-func (s *System) setDomain(ctx context.Context, n *node.Node, name string, state note.State) error {
-	config := n.Notes().Current()
-	domain, ok := config.Sections.Domains[name]
-	if !ok {
-		return fault.BadField("domain", "no failure domain %q", name)
+const (
+	slowStoreMS     = 200 // Delay of a call to a slow store.
+	lostAnswerShare = 0.3
+)
+
+// SetStore changes the state of the store.
+func (s *System) SetStore(state trial.StoreFault) error {
+	s.faults.Clear()
+	switch state {
+	case trial.StoreDown:
+		s.faults.Add(store.Fault{Kind: store.FaultDown})
+	case trial.StoreSlow:
+		s.faults.Add(store.Fault{Kind: store.FaultSlow, DelayMS: slowStoreMS})
+	case trial.StoreLosesAnswers:
+		s.faults.Add(store.Fault{Kind: store.FaultAnswerLost, Share: lostAnswerShare})
+	case trial.StoreHealthy:
 	}
-	domain.State = state
-	_, err := n.Notes().Offer(ctx, note.Note{
-		ID:           fmt.Sprintf("domain-%s-%s", name, uuid.NewString()),
-		BaseRevision: config.Revision,
-		Changed:      note.Sections{Domains: map[string]note.FailureDomain{name: domain}},
-	})
-	return err
+	return nil
 }
 
 // Close ends everything and waits for it.
@@ -309,9 +299,6 @@
 			_ = r.node.Close()
 		}
 	}
-	if s.targets != nil {
-		_ = s.targets.Close()
-	}
 	if s.server != nil {
 		_ = s.server.Close()
 	}
