Drive the demo's nodes from the experiment tool

Cause: experiments need whole nodes behind trial.System; demo.System always started stand-ins of its own.

--- a/demo/system.go
+++ b/demo/system.go
@@ -31,6 +31,9 @@
 	// Listen and Admin are the first node's addresses; empty takes free ports.
 	Listen string
 	Admin  string
+	// Placed is a configuration whose targets already listen. If it is set, no
+	// stand-ins are started and Deployment is not used.
+	Placed *note.Config
 	// Warm says that targets start warm.
 	Warm bool
 	Log  *logrus.Logger
@@ -64,25 +67,35 @@
 // Start starts the store, the targets and the nodes, and brings the shipped
 // release note into force with the addresses of the stand-ins.
 func (s *System) Start(ctx context.Context) error {
-	shipped, err := note.Shipped(s.Deployment)
+	first, err := s.first()
 	if err != nil {
 		return err
 	}
 	if err := s.startStore(); err != nil {
 		return err
 	}
-	if err := s.startTargets(&shipped); err != nil {
-		return err
-	}
 	if err := s.startNodes(ctx); err != nil {
 		return err
 	}
-	if _, err := s.Node(0).Notes().Offer(ctx, shipped); err != nil {
+	if _, err := s.Node(0).Notes().Offer(ctx, first); err != nil {
 		return err
 	}
 	return s.awaitReady(ctx)
 }
 
+// first returns the first release note. Its targets listen.
+func (s *System) first() (note.Note, error) {
+	if s.Placed != nil {
+		s.config = *s.Placed
+		return note.Note{ID: "placed-1", Added: s.config.Sections}, nil
+	}
+	shipped, err := note.Shipped(s.Deployment)
+	if err != nil {
+		return note.Note{}, err
+	}
+	return shipped, s.startTargets(&shipped)
+}
+
 func (s *System) startStore() error {
 	s.memory = &store.Memory{Clock: ports.SystemClock{}}
 	s.faults = &store.Faults{Store: s.memory, Clock: ports.SystemClock{}, Random: ports.SystemRandom{}}
