--- a/demo/system.go
+++ b/demo/system.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -38,6 +39,7 @@
 	address string // Of the store.
 	seeds   []string
 	running sync.WaitGroup
+	offers  atomic.Int64
 	mutex   sync.Mutex // Guards nodes.
 	nodes   []*nodeSlot
 }
@@ -260,11 +262,17 @@
 	return s.startNode(context.Background(), index)
 }
 
-// Accept offers a release note to one node after the other until one accepts it.
+// Accept offers a release note to the nodes that run, each offer beginning at
+// another one, until one of them decides.
 func (s *System) Accept(ctx context.Context, change note.Note) error {
-	var err error
+	turn := int(s.offers.Add(1))
+	err := error(fault.New(fault.Unavailable, fault.NotRun, "no node runs"))
 	for i := range s.Size {
-		_, err = s.Node(i).Notes().Offer(ctx, change)
+		n := s.Node((turn + i) % s.Size)
+		if n.Ended() {
+			continue
+		}
+		_, err = n.Notes().Offer(ctx, change)
 		if err == nil || fault.From(err).Kind == fault.Conflict {
 			return err
 		}
--- a/node/node.go
+++ b/node/node.go
@@ -132,6 +132,7 @@
 // Close stops the node at once and waits for its end. Requests are cut.
 func (n *Node) Close() error {
 	n.once.Do(n.init)
+	n.stopping.Store(true)
 	if n.cancel != nil {
 		n.cancel()
 		<-n.finished
@@ -139,6 +140,9 @@
 	return nil
 }
 
+// Ended reports whether the node has been told to stop.
+func (n *Node) Ended() bool { return n.stopping.Load() }
+
 // Ready returns nil if the node takes new work, else the reason why not.
 func (n *Node) Ready() error {
 	if n.stopping.Load() {
