Mend a store stand-in that was closed before it ran

Cause: a server closed between Listen and Run went on serving for good, as fasthttp knows a listener only once it serves; found by a hang of another test with the same order of calls. Change: Close closes the listener itself; the client takes its dial function from ports. Measured: the new test hangs without the change and passes five times under -race with it. Conclusion: Close ends the server at any time.

--- a/store/client.go
+++ b/store/client.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -133,14 +132,21 @@
 func (c *Client) failed(turn int64, err error) error {
 	c.address.CompareAndSwap(turn, turn+1)
 	c.client().CloseIdleConnections()
-	var dial *dialError
+	return unanswered(err)
+}
+
+// unanswered returns the error of a call that got no answer.
+func unanswered(err error) error {
+	var dial *ports.DialError
 	switch {
 	case errors.As(err, &dial):
-		return fault.New(fault.Unavailable, fault.NotRun, "%s", dial)
+		return fault.New(fault.Unavailable, fault.NotRun, "store: %s", dial)
 	case errors.Is(err, fasthttp.ErrNoFreeConns):
 		return fault.New(fault.Busy, fault.NotRun, "no free connection to the store")
 	case errors.Is(err, fasthttp.ErrTimeout):
 		return fault.New(fault.DeadlineExceeded, fault.MayHaveRun, "no answer of the store in time")
+	case errors.Is(err, fasthttp.ErrConnectionClosed):
+		return fault.New(fault.ConnectionLost, fault.MayHaveRun, "store closed the connection without an answer")
 	}
 	return fault.New(fault.ConnectionLost, fault.MayHaveRun, "connection to the store: %s", err)
 }
@@ -165,7 +171,7 @@
 func (c *Client) client() *fasthttp.Client {
 	c.once.Do(func() {
 		c.http = &fasthttp.Client{
-			DialTimeout:                   c.dial,
+			DialTimeout:                   ports.Dialer(c.Network, defaultCallTimeout),
 			MaxConnsPerHost:               defaultMaxConns,
 			MaxConnWaitTimeout:            defaultCallTimeout,
 			MaxIdleConnDuration:           idleConnTimeout,
@@ -180,24 +186,4 @@
 	return c.http
 }
 
-// dialError is a failure to connect, before anything was sent.
-type dialError struct{ cause error }
-
-func (e *dialError) Error() string { return "connect to the store: " + e.cause.Error() }
-
-func (e *dialError) Unwrap() error { return e.cause }
-
-func (c *Client) dial(address string, timeout time.Duration) (net.Conn, error) {
-	if timeout <= 0 {
-		timeout = defaultCallTimeout
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
-	defer cancel()
-	conn, err := c.Network.Dial(ctx, address)
-	if err != nil {
-		return nil, &dialError{cause: err}
-	}
-	return conn, nil
-}
-
 func neverRetry(*fasthttp.Request, int, error) (resetTimeout, retry bool) { return false, false }
--- a/store/script_test.go
+++ b/store/script_test.go
@@ -83,6 +83,16 @@
 	})
 }
 
+func TestServerClosedBeforeRun(t *testing.T) {
+	s := &Server{Store: &Memory{}, Network: ports.SystemNetwork{}, Address: "127.0.0.1:0"}
+	if _, err := s.Listen(); err != nil {
+		t.Fatal(err)
+	}
+	if err := errors.Join(s.Close(), s.Run(t.Context())); err != nil {
+		t.Error(err)
+	}
+}
+
 func TestMemoryAndFaults(t *testing.T) {
 	script.Run(t, "testdata/calls/*.json", func(t *testing.T, data calls) {
 		synctest.Test(t, func(t *testing.T) {
--- a/store/server.go
+++ b/store/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"net"
 	"sync"
 	"time"
@@ -83,6 +84,10 @@
 		ctx, cancel := context.WithTimeout(context.Background(), serverShutdownPeriod)
 		defer cancel()
 		s.err = s.http.ShutdownWithContext(ctx)
+		// A server that has not begun to serve does not know its listener yet.
+		if err := s.listener.Close(); s.err == nil && !errors.Is(err, net.ErrClosed) {
+			s.err = err
+		}
 	})
 }
 
--- a/store/stream.go
+++ b/store/stream.go
@@ -91,7 +91,7 @@
 func (c *Client) dialStream(ctx context.Context, _, address string) (net.Conn, error) {
 	conn, err := c.Network.Dial(ctx, address)
 	if err != nil {
-		return nil, &dialError{cause: err}
+		return nil, &ports.DialError{Cause: err}
 	}
 	return conn, nil
 }
