Let a call wait when only slow targets are free

Cause: since targets too slow for a call's deadline are left out of the choice, the choice can be empty although a target has room; the dispatch then used a nil target. Change: such a call is kept apart until a target that is fast enough has room or its time has run out. Measured: the script only_slow_target_free panicked before and passes now.

--- a/pool/dispatch.go
+++ b/pool/dispatch.go
@@ -17,7 +17,12 @@
 			p.refuse(c, expired())
 			continue
 		}
-		p.send(now, c, p.pick(now, c))
+		m := p.pick(now, c)
+		if m == nil { // The targets with room are too slow for the call.
+			p.apart = append(p.apart, c)
+			continue
+		}
+		p.send(now, c, m)
 	}
 }
 
