Keep calls from slow targets only while a faster one is open

With the rule as it was, a call waits until its time has run out when every target is slow, and any number of calls could be kept apart. Change: a call waits for a faster target only while one is open and at most 64 calls are kept apart; otherwise any target with room takes it.

--- a/pool/member.go
+++ b/pool/member.go
@@ -55,6 +55,11 @@
 	return occupied > 0 && float64(occupied+1) > math.Ceil(part*float64(m.target.Limit(now)))
 }
 
+// slower reports whether the target has lately been too slow for a deadline.
+func (m *member) slower(now, deadline time.Time) bool {
+	return now.Add(m.target.Latency(now)).After(deadline)
+}
+
 // score weighs load by latency: the lower, the sooner a call ends.
 func (m *member) score(now time.Time) float64 {
 	return m.load(now) * m.target.Latency(now).Seconds()
--- a/pool/pick.go
+++ b/pool/pick.go
@@ -1,6 +1,9 @@
 package pool
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const defaultAffinityBound = 2.0
 
@@ -30,7 +33,7 @@
 	found := best
 	held, highest := false, uint64(0)
 	for _, m := range p.members {
-		if m.free(now) <= 0 || p.avoids(c, m) || m.full(now, bound) {
+		if m.free(now) <= 0 || p.avoids(c, m) || m.full(now, bound) || p.tooSlow(now, c, m) {
 			continue
 		}
 		holds := holders&(1<<m.slot) != 0
@@ -61,12 +64,23 @@
 	return p.AffinityBound
 }
 
+// tooSlow reports whether a target has lately been too slow for a call, while
+// another one, perhaps without room at present, is fast enough.
+func (p *Pool) tooSlow(now time.Time, c *call, m *member) bool {
+	if !m.slower(now, c.Deadline) || len(p.apart) >= maxApart {
+		return false
+	}
+	return slices.ContainsFunc(p.members, func(o *member) bool {
+		return o.open && !o.slower(now, c.Deadline) && !slices.Contains(c.Avoid, o.name)
+	})
+}
+
 // pickBy returns the target with room and the lowest score.
 func (p *Pool) pickBy(now time.Time, c *call, score func(m *member) float64) *member {
 	var best *member
 	lowest := 0.0
 	for _, m := range p.members {
-		if m.free(now) <= 0 || p.avoids(c, m) {
+		if m.free(now) <= 0 || p.avoids(c, m) || p.tooSlow(now, c, m) {
 			continue
 		}
 		if s := score(m); best == nil || s < lowest {
