Queue streamed chunks so that reading never waits for writing

Cause: a node forwards the chunks that it reads on one connection by writing them to another while it reads; a slow reader at the far end held up every call on the first connection. Change: chunks are queued for each call and written by one loop; those that come while one is being written go out together. The loss of a connection is logged with the step and the error.

--- a/peer/link.go
+++ b/peer/link.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/jsonrpc2"
 
 	"bergamotworks/fault"
@@ -110,6 +111,15 @@
 	}
 }
 
+// lose closes a connection that failed and says why, once.
+func (l *link) lose(step string, err error) {
+	if !l.broken() {
+		l.mesh.count("peer_lost_connections_total")
+		l.mesh.Log.WithFields(logrus.Fields{"peer": l.vm, "step": step, "error": err.Error()}).Info("connection to peer lost")
+	}
+	l.close()
+}
+
 // check closes the connection if calls wait and nothing has been received.
 func (l *link) check(now time.Time) {
 	if l.waiting.Load() == 0 {
@@ -133,18 +143,21 @@
 
 // Handle receives the chunks of streamed answers.
 func (l *link) Handle(_ context.Context, _ *jsonrpc2.Conn, request *jsonrpc2.Request) {
-	if request.Method != methodChunk || request.Params == nil {
+	if request.Method != methodChunks || request.Params == nil {
 		return
 	}
-	var message chunk
+	var message chunks
 	if json.Unmarshal(*request.Params, &message) != nil {
 		return
 	}
 	l.mutex.Lock()
 	onChunk := l.chunks[message.Call]
 	l.mutex.Unlock()
-	if onChunk != nil {
-		onChunk(message.Data)
+	if onChunk == nil {
+		return
+	}
+	for _, d := range message.Data {
+		onChunk(d)
 	}
 }
 
@@ -164,7 +177,7 @@
 	message := envelope{From: l.mesh.Self, Call: number, Params: body}
 	waiter, err := l.conn.DispatchCall(ctx, method, message)
 	if err != nil {
-		l.close()
+		l.lose("send", err)
 		return l.sendError(err)
 	}
 	err = waiter.Wait(ctx, result)
@@ -201,7 +214,7 @@
 	case errors.As(err, &wire):
 		return decodeError(wire)
 	default:
-		l.close()
+		l.lose("receive", err)
 		return fault.New(fault.ConnectionLost, fault.MayHaveRun, "connection to VM %s lost: %s", l.vm, err)
 	}
 }
--- a/peer/mesh_test.go
+++ b/peer/mesh_test.go
@@ -170,6 +170,7 @@
 	}
 	server = &Mesh{Self: "b", Listener: listener, Network: ports.SystemNetwork{}, Clock: ports.SystemClock{}}
 	server.Register("echo", Typed(func(_ context.Context, text string) (string, error) { return text, nil }))
+	server.Register("parts", sendParts)
 	go (&runner{mesh: server, done: sync.WaitGroup{}}).loop()
 	client = &Mesh{
 		Self: "a", Network: ports.SystemNetwork{}, Clock: ports.SystemClock{},
--- a/peer/message.go
+++ b/peer/message.go
@@ -10,7 +10,7 @@
 
 // The methods that the mesh itself uses.
 const (
-	methodChunk  = "peer.chunk"
+	methodChunks = "peer.chunks"
 	methodCancel = "peer.cancel"
 	methodPing   = "peer.ping"
 )
@@ -22,10 +22,10 @@
 	Params json.RawMessage `json:"params"`
 }
 
-// chunk is one part of a streamed answer.
-type chunk struct {
-	Call uint64          `json:"call"`
-	Data json.RawMessage `json:"data"`
+// chunks is a run of parts of a streamed answer.
+type chunks struct {
+	Call uint64            `json:"call"`
+	Data []json.RawMessage `json:"data"`
 }
 
 // cancel says that the caller of a call no longer waits.
--- a/peer/session.go
+++ b/peer/session.go
@@ -55,6 +55,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &served{session: s, conn: conn, id: request.ID, message: message, handler: handler}
+	c.idle.L = &c.mutex
 	s.mutex.Lock()
 	s.calls[message.Call] = cancel
 	s.mutex.Unlock()
@@ -88,33 +89,3 @@
 	}
 	clear(s.calls)
 }
-
-// served is one incoming call.
-type served struct {
-	session *session
-	conn    *jsonrpc2.Conn
-	id      jsonrpc2.ID
-	message envelope
-	handler Handler
-}
-
-// run calls the handler and sends its answer.
-func (c *served) run(ctx context.Context) {
-	defer c.session.mesh.running.Done()
-	defer c.session.end(c.message.Call)
-	incoming := Incoming{From: c.message.From, Params: c.message.Params, Send: c.send}
-	result, err := c.handler(ctx, incoming)
-	if err != nil {
-		_ = c.conn.ReplyWithError(context.Background(), c.id, encodeError(err))
-		return
-	}
-	_ = c.conn.Reply(context.Background(), c.id, result)
-}
-
-func (c *served) send(data any) error {
-	body, err := json.Marshal(data)
-	if err != nil {
-		return err
-	}
-	return c.conn.Notify(context.Background(), methodChunk, chunk{Call: c.message.Call, Data: body})
-}
