Bound the traffic when regions find each other again

Cause: at 400 VMs the end of a split made the busiest VM move 940 KB in one second (1.75 MB after a split of 10 s): each VM answered every comparison with its whole table and told every VM that others held it dead. During a split of 10 s the news of the deaths did not get through 256 bytes a probe. Change: a budget of bytes for table entries, 8 notices a period at most, and 1000 bytes of changes on a probe while more than 32 wait.

--- a/member/contact.go
+++ b/member/contact.go
@@ -13,6 +13,8 @@
 	maxDatagram  = 1200        // Bytes of payload that pass every network unfragmented.
 	headerBytes  = 350         // Bound on the header of a message with its digests.
 	joinFanout   = 3           // Seeds asked at once, at most, by a VM that knows no other.
+	bulkRate     = 16 << 10    // Bytes of table entries sent a second, on average.
+	bulkBurst    = 64 << 10    // Bytes of table entries sent at once, at most.
 	syncsOnStart = 3           // Early comparisons, which repair lost datagrams of the first.
 )
 
@@ -25,12 +27,16 @@
 	joinUntil time.Time
 	joined    bool
 	early     int
-	tries     int // Rounds in which no VM was known.
+	tries     int     // Rounds in which no VM was known.
+	bulk      float64 // Bytes of table entries that may be sent now.
+	bulkAt    time.Time
 }
 
 func (c *contacts) start(now time.Time, s Settings) {
 	c.syncDue = now.Add(s.SyncEvery)
 	c.tryDue = now
+	c.bulk = bulkBurst
+	c.bulkAt = now
 	c.joinUntil = now.Add(s.JoinTimeout)
 }
 
@@ -190,6 +196,9 @@
 	if buckets&(1<<rumorBucket) != 0 {
 		rumors = t.rumors.all()
 	}
+	if !t.contacts.allow(total(deltas)+total(rumors), t.now) {
+		return
+	}
 	for last := false; !last; {
 		m := message{Kind: syncState}
 		room := maxDatagram - headerBytes
@@ -203,6 +212,18 @@
 	}
 }
 
+// allow takes bytes from the budget of table entries. Many VMs may ask at once
+// when a partition ends; those that get no answer ask again later.
+func (c *contacts) allow(bytes int, now time.Time) bool {
+	c.bulk = min(bulkBurst, c.bulk+bulkRate*now.Sub(c.bulkAt).Seconds())
+	c.bulkAt = now
+	if float64(bytes) > c.bulk {
+		return false
+	}
+	c.bulk -= float64(bytes)
+	return true
+}
+
 // chunk splits off the values that fit into the room.
 func chunk[T sized](values []T, room int) (rest, taken []T, left int) {
 	for i, v := range values {
@@ -214,6 +235,14 @@
 	return nil, values, room
 }
 
+func total[T sized](values []T) int {
+	bytes := 0
+	for _, v := range values {
+		bytes += v.size()
+	}
+	return bytes
+}
+
 func (t *Table) entriesOf(buckets uint64) []delta {
 	var deltas []delta
 	if buckets&(1<<bucket(t.Self.ID)) != 0 {
--- a/member/merge.go
+++ b/member/merge.go
@@ -114,6 +114,10 @@
 
 // notify tells a VM that the sender holds it dead.
 func (t *Table) notify(e *entry, d delta, sender string) {
+	if t.probes.notices >= maxNotices {
+		return
+	}
+	t.probes.notices++
 	d.Details = nil
 	t.send(e.Gossip, message{Kind: gossip, Target: sender, Deltas: []delta{d}})
 }
@@ -236,6 +240,9 @@
 	t.changes.push(t.Self.ID, news)
 }
 
+// maxNotices is the number of notices that a VM sends in one period.
+const maxNotices = 8
+
 // rejoinGrace is the time in which the table of a VM that was cut off may be
 // out of date.
 const rejoinGrace = 10 * time.Second
--- a/member/probe.go
+++ b/member/probe.go
@@ -12,6 +12,7 @@
 	due      time.Time
 	sequence uint32
 	open     map[uint32]*probe
+	notices  int // Notices sent in this period.
 }
 
 // probe is a probe that has not been answered.
@@ -47,6 +48,7 @@
 	}
 	t.probes.due = t.now.Add(t.settings.Period)
 	t.views.periodEnd = true
+	t.probes.notices = 0
 	if len(t.probes.order) == 0 {
 		return
 	}
--- a/member/settings.go
+++ b/member/settings.go
@@ -21,6 +21,7 @@
 	PauseLimit       time.Duration // Gap between steps that counts as a pause; 1 s.
 	TombstoneTime    time.Duration // Time for which a VM that is gone is remembered; 2 h.
 	PiggybackBytes   int           // Bytes of changes on one probe; 256.
+	BurstBytes       int           // The same while many changes wait; 1000.
 	MaxRumors        int           // Rumours kept; 1024.
 }
 
@@ -37,6 +38,7 @@
 	setDefault(&s.PauseLimit, time.Second)
 	setDefault(&s.TombstoneTime, 2*time.Hour)
 	setDefault(&s.PiggybackBytes, 256)
+	setDefault(&s.BurstBytes, 1000)
 	setDefault(&s.MaxRumors, 1024)
 	return s
 }
@@ -53,6 +55,17 @@
 	return time.Duration(float64(s.SuspicionPeriods) * scale * float64(s.Period))
 }
 
+// manyChanges is the number of waiting changes from which probes carry more.
+const manyChanges = 32
+
+// piggyback returns the bytes of changes that one message carries.
+func (s Settings) piggyback(waiting int) int {
+	if waiting > manyChanges {
+		return s.BurstBytes
+	}
+	return s.PiggybackBytes
+}
+
 // transmissions returns how often one VM passes on one change.
 func transmissions(fleet int) int {
 	return 2 * bits.Len(uint(fleet))
--- a/member/table.go
+++ b/member/table.go
@@ -173,7 +173,7 @@
 	m.Revision = t.Self.Attributes.Revision
 	m.Loads = t.Self.Attributes.Loads
 	if m.Kind == ping || m.Kind == ack || m.Kind == gossip {
-		room := t.settings.PiggybackBytes
+		room := t.settings.piggyback(len(t.changes.items))
 		limit := transmissions(t.fleet())
 		m.Deltas, room = t.changes.take(m.Deltas, room, limit)
 		m.Rumors, _ = t.rumors.pending.take(m.Rumors, room, limit)
