Give engine orders under fencing numbers

Cause: orders must survive paused issuers, lost answers and store outages, for engines that refuse old fencing numbers and for those that ignore them, and loads have to be paced across the fleet.

--- /dev/null
+++ b/order/pace.go
@@ -0,0 +1,80 @@
+package order
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"bergamotworks/fault"
+	"bergamotworks/ports"
+)
+
+const (
+	paceKey = "bergamot/order/pace"
+	// maxAhead bounds how far ahead loads are planned.
+	maxAhead     = time.Minute
+	maxPaceTries = 4
+)
+
+// pace is the value of the store by which the nodes space out the loads.
+type pace struct {
+	NextMS int64 `json:"next_ms"` // Unix milliseconds of the next free slot.
+}
+
+// slot returns the slot that is free at a time. It reports false if that is too
+// far ahead. A value that no honest clock has written is ignored.
+func (p pace) slot(now time.Time) (time.Time, bool) {
+	next := time.UnixMilli(p.NextMS)
+	switch wait := next.Sub(now); {
+	case wait <= 0, wait > 2*maxAhead:
+		return now, true
+	case wait > maxAhead:
+		return time.Time{}, false
+	}
+	return next, true
+}
+
+// reserve takes the next slot for a load from the weight store. It fails with
+// fault.Busy if all slots within a minute are taken, with fault.Conflict if
+// other nodes come first again and again. A slot that is lost with
+// an answer stays empty.
+func reserve(ctx context.Context, store ports.Store, now time.Time, perMinute int) (time.Time, error) {
+	for range maxPaceTries {
+		p, modRevision, err := readPace(ctx, store)
+		if err != nil {
+			return time.Time{}, err
+		}
+		slot, ok := p.slot(now)
+		if !ok {
+			return time.Time{}, fault.New(fault.Busy, fault.NotRun, "all loads of the next minute are planned")
+		}
+		next := pace{NextMS: slot.Add(time.Minute / time.Duration(perMinute)).UnixMilli()}
+		value, err := json.Marshal(next)
+		if err != nil {
+			return time.Time{}, fault.New(fault.Internal, fault.NotRun, "encode pace: %s", err)
+		}
+		response, err := store.Commit(ctx, ports.Txn{
+			Compares: []ports.Compare{{Key: paceKey, ModRevision: modRevision}},
+			Then:     []ports.Op{ports.Put{Key: paceKey, Value: value}},
+		})
+		if err != nil {
+			return time.Time{}, err
+		}
+		if response.Succeeded {
+			return slot, nil
+		}
+	}
+	return time.Time{}, fault.New(fault.Conflict, fault.NotRun, "other nodes take the slots for loads")
+}
+
+func readPace(ctx context.Context, store ports.Store) (pace, int64, error) {
+	response, err := store.Range(ctx, ports.RangeRequest{Key: paceKey})
+	if err != nil || len(response.Entries) == 0 {
+		return pace{}, 0, err
+	}
+	var p pace
+	if err := json.Unmarshal(response.Entries[0].Value, &p); err != nil {
+		return pace{}, 0, fault.New(fault.Internal, fault.NotRun, "decode pace: %s", err)
+	}
+	return p, response.Entries[0].ModRevision, nil
+}
--- /dev/null
+++ b/order/record.go
@@ -0,0 +1,84 @@
+package order
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"time"
+
+	"bergamotworks/fault"
+	"bergamotworks/ports"
+)
+
+const recordPrefix = "bergamot/order/target/"
+
+// Phase says how far the last order to a target has come.
+type Phase int
+
+// The phases.
+const (
+	// PhaseSettled means that the outcome of the last order is known.
+	PhaseSettled Phase = iota
+	// PhaseOpen means that its issuer may have sent it or may still send it.
+	PhaseOpen
+)
+
+// Record is what the store holds of the last order to a target.
+type Record struct {
+	Target  string  `json:"target"`
+	Phase   Phase   `json:"phase"`
+	Issuer  string  `json:"issuer"` // VM and process.
+	Command Command `json:"command"`
+	// Incarnation is the one of the engine before the order.
+	Incarnation string `json:"incarnation,omitempty"`
+	// ClaimedMS is the issuer's time of the claim, in Unix milliseconds.
+	ClaimedMS int64 `json:"claimed_ms"`
+
+	modRevision int64
+}
+
+func (r Record) claimed() time.Time { return time.UnixMilli(r.ClaimedMS) }
+
+// withPhase returns a copy in another phase.
+func (r Record) withPhase(phase Phase) Record {
+	r.Phase = phase
+	return r
+}
+
+// readRecord reads the record of a target; a target without one has the zero
+// record with its name.
+func readRecord(ctx context.Context, store ports.Store, target string) (Record, error) {
+	response, err := store.Range(ctx, ports.RangeRequest{Key: recordPrefix + target})
+	if err != nil {
+		return Record{}, err
+	}
+	if len(response.Entries) == 0 {
+		return Record{Target: target}, nil
+	}
+	return decodeRecord(response.Entries[0])
+}
+
+func decodeRecord(entry ports.KeyValue) (Record, error) {
+	var r Record
+	if err := json.Unmarshal(entry.Value, &r); err != nil {
+		return Record{}, fault.New(fault.Internal, fault.NotRun, "decode %s: %s", entry.Key, err)
+	}
+	r.Target = strings.TrimPrefix(entry.Key, recordPrefix)
+	r.modRevision = entry.ModRevision
+	return r, nil
+}
+
+// replace writes a record over the one that was read. It reports false if
+// another writer came first; after an error the outcome is open.
+func (r Record) replace(ctx context.Context, store ports.Store, next Record) (bool, error) {
+	value, err := json.Marshal(next)
+	if err != nil {
+		return false, fault.New(fault.Internal, fault.NotRun, "encode record: %s", err)
+	}
+	key := recordPrefix + r.Target
+	response, err := store.Commit(ctx, ports.Txn{
+		Compares: []ports.Compare{{Key: key, ModRevision: r.modRevision}},
+		Then:     []ports.Op{ports.Put{Key: key, Value: value}},
+	})
+	return response.Succeeded, err
+}
