Send engine orders in the published format, with verdicts of their own

Cause: orders for adapters named the adapter in a field that published engines do not know; an order that the engine answered with an error stayed open; the wait for an answer was 2 s, which a load exceeds. The stand-in engine reads the same bodies. Conclusion: package order can use this client and needs none of its own.

--- a/emul/order.go
+++ b/emul/order.go
@@ -51,8 +51,8 @@
 // order obeys an engine order. An old fencing number is refused only by
 // services that look at it.
 func (h handler) order(ctx *fasthttp.RequestCtx) {
-	var order engine.Order
-	if err := json.Unmarshal(ctx.PostBody(), &order); err != nil {
+	var body engine.OrderBody
+	if err := json.Unmarshal(ctx.PostBody(), &body); err != nil {
 		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
 		return
 	}
@@ -65,7 +65,7 @@
 		ctx.SetStatusCode(fasthttp.StatusConflict)
 		return
 	}
-	if !t.state.obey(string(ctx.Path()), order.Subject) {
+	if !t.state.obey(string(ctx.Path()), body) {
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
 		return
 	}
@@ -74,19 +74,19 @@
 }
 
 // obey changes the state; it reports false for an unknown path.
-func (o *orderState) obey(path, subject string) bool {
+func (o *orderState) obey(path string, body engine.OrderBody) bool {
 	if o.adapters == nil {
 		o.adapters = make(map[string]bool)
 	}
 	switch path {
-	case "/v1/load_lora_adapter":
-		o.adapters[subject] = true
-	case "/v1/unload_lora_adapter":
-		delete(o.adapters, subject)
-	case "/v1/load_model":
-		o.model = subject
-	case "/v1/role":
-		o.role = subject
+	case engine.PathLoadAdapter:
+		o.adapters[body.Adapter] = true
+	case engine.PathUnloadAdapter:
+		delete(o.adapters, body.Adapter)
+	case engine.PathLoadModel:
+		o.model = body.Model
+	case engine.PathChangeRole:
+		o.role = body.Role
 	default:
 		return false
 	}
--- a/engine/report.go
+++ b/engine/report.go
@@ -9,7 +9,6 @@
 	"github.com/valyala/fasthttp"
 
 	"bergamotworks/fault"
-	"bergamotworks/note"
 )
 
 // LoadReport is what a target says about itself. It lags behind.
@@ -37,14 +36,6 @@
 	Gap bool `json:"gap"`
 }
 
-// Order is a request to an engine to change what it holds or does.
-type Order struct {
-	Kind    note.OrderKind `json:"-"`
-	Subject string         `json:"name"`
-	Version string         `json:"version,omitempty"`
-	Fence   int64          `json:"-"`
-}
-
 // Load asks a target for its load.
 func (c *Client) Load(ctx context.Context, target, address string) (LoadReport, error) {
 	var report LoadReport
@@ -60,31 +51,6 @@
 	return events, err
 }
 
-// Order sends an engine order under its fencing number. An order that the
-// engine refuses for its number fails with the kind Conflict and NotRun.
-func (c *Client) Order(ctx context.Context, target, address string, order Order) error {
-	body, err := json.Marshal(order)
-	if err != nil {
-		return notRun(Unknown, fault.Invalid, "order: %s", err)
-	}
-	return c.fetch(ctx, query{
-		target: target, address: address, path: orderPath(order.Kind), body: body, fence: order.Fence,
-	}, nil)
-}
-
-func orderPath(kind note.OrderKind) string {
-	switch kind {
-	case note.LoadAdapter:
-		return "/v1/load_lora_adapter"
-	case note.UnloadAdapter:
-		return "/v1/unload_lora_adapter"
-	case note.LoadModel:
-		return "/v1/load_model"
-	default:
-		return "/v1/role"
-	}
-}
-
 // query is a short exchange outside the stage calls, on a connection of its own.
 type query struct {
 	target  string
@@ -92,6 +58,7 @@
 	path    string
 	body    []byte // Empty means GET.
 	fence   int64
+	limit   time.Duration // Of the wait for a byte; zero means the client's.
 }
 
 // fetch runs the query and decodes the answer unless result is nil.
@@ -115,7 +82,7 @@
 	response := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(response)
 	query.fill(request)
-	a.wait(a.client.progressTimeout())
+	a.wait(max(query.limit, a.client.progressTimeout()))
 	if err := a.write(request); err != nil {
 		return a.lost(err)
 	}
@@ -140,12 +107,10 @@
 
 // decode turns the answer of a query into its result or a failure.
 func (a *attempt) decode(response *fasthttp.Response, result any) *Failure {
-	switch status := response.StatusCode(); {
-	case status == fasthttp.StatusConflict:
-		return notRun(Rejected, fault.Conflict, "%s holds a newer fencing number", a.call.Target)
-	case status != fasthttp.StatusOK:
-		return failed(Rejected, fault.TargetFailed, "%s answered with status %d", a.call.Target, status)
-	case result == nil:
+	if status := response.StatusCode(); status != fasthttp.StatusOK {
+		return a.refused(status)
+	}
+	if result == nil {
 		return nil
 	}
 	if err := json.Unmarshal(response.Body(), result); err != nil {
