--- a/order/command.go
+++ b/order/command.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"bergamotworks/note"
 )
@@ -16,15 +17,15 @@
 
 // EngineState is what an engine says of itself.
 type EngineState struct {
-	Model        string
-	ModelVersion string
-	Adapters     map[string]string // Versions by name.
-	Role         string
-	Incarnation  string // Changes when the engine restarts; may be empty.
+	Model       string
+	Adapters    []string
+	Role        string
+	Incarnation string // Changes when the engine restarts.
 }
 
-// Engine gives access to engines. Errors are *fault.Error; the verdict NotRun of
-// Apply means that the command has not run and will not run.
+// Engine gives access to engines. Errors carry a verdict: after NotRun the
+// command has not run and will not run, after Ran the engine has answered that
+// it failed.
 type Engine interface {
 	// State reads the state of the engine at an address.
 	State(ctx context.Context, address string) (EngineState, error)
@@ -32,18 +33,34 @@
 	Apply(ctx context.Context, address string, command Command) error
 }
 
+// Name returns the name under which the engine reports the subject. It holds
+// the version, so that the state tells versions apart.
+func (c Command) Name() string {
+	if c.Version == "" {
+		return c.Subject
+	}
+	return c.Subject + "@" + c.Version
+}
+
+// source returns the path of the subject in the weight store.
+func (c Command) source() string {
+	if c.Version == "" {
+		return c.Subject
+	}
+	return c.Subject + "/" + c.Version
+}
+
 // Effective reports whether an engine is in the state that the command asks for.
 func (c Command) Effective(s EngineState) bool {
-	version, loaded := s.Adapters[c.Subject]
 	switch c.Kind {
 	case note.LoadAdapter:
-		return loaded && matches(c.Version, version)
+		return slices.Contains(s.Adapters, c.Name())
 	case note.UnloadAdapter:
-		return !loaded
+		return !slices.Contains(s.Adapters, c.Name())
 	case note.LoadModel:
-		return s.Model == c.Subject && matches(c.Version, s.ModelVersion)
+		return s.Model == c.Name()
 	case note.ChangeRole:
-		return s.Role == c.Subject
+		return s.Role == c.Name()
 	}
 	return false
 }
@@ -52,5 +69,3 @@
 func (c Command) Loads() bool {
 	return c.Kind == note.LoadAdapter || c.Kind == note.LoadModel
 }
-
-func matches(wanted, present string) bool { return wanted == "" || wanted == present }
--- a/order/fleet_test.go
+++ b/order/fleet_test.go
@@ -4,7 +4,7 @@
 	"context"
 	"fmt"
 	"io"
-	"maps"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -41,16 +41,16 @@
 	}
 	e.fence = c.Fence
 	e.log = append(e.log, entry)
-	e.state.Adapters = maps.Clone(e.state.Adapters)
+	others := slices.DeleteFunc(slices.Clone(e.state.Adapters), func(name string) bool { return name == c.Name() })
 	switch c.Kind {
 	case note.LoadAdapter:
-		e.state.Adapters[c.Subject] = c.Version
+		e.state.Adapters = slices.Concat(others, []string{c.Name()})
 	case note.UnloadAdapter:
-		delete(e.state.Adapters, c.Subject)
+		e.state.Adapters = others
 	case note.LoadModel:
-		e.state.Model, e.state.ModelVersion = c.Subject, c.Version
+		e.state.Model = c.Name()
 	case note.ChangeRole:
-		e.state.Role = c.Subject
+		e.state.Role = c.Name()
 	}
 	if c.Loads() {
 		e.loads = append(e.loads, since.Milliseconds())
@@ -100,8 +100,15 @@
 
 func (f *fleet) launch(vm string) {
 	ctx, cancel := context.WithCancel(context.Background())
+	p := f.prepare(vm)
+	p.cancel = cancel
+	f.tasks.Go(launched{p, ctx}.run)
+}
+
+// prepare returns a process that does not run yet.
+func (f *fleet) prepare(vm string) *process {
 	seed := uint64(len(f.processes) + 1)
-	p := &process{fleet: f, vm: vm, cancel: cancel}
+	p := &process{fleet: f, vm: vm}
 	p.faults = &store.Faults{Store: f.memory, Random: ports.NewSeededRandom(seed)}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
@@ -117,7 +124,7 @@
 		Owns:    p.owns,
 	}
 	f.processes[vm] = p
-	f.tasks.Go(launched{p, ctx}.run)
+	return p
 }
 
 type launched struct {
--- a/order/script_test.go
+++ b/order/script_test.go
@@ -64,7 +64,7 @@
 		s.Targets[name] = note.Target{Service: "llm", Address: name}
 		f.engines[name] = &fakeEngine{
 			refuses: data.Refuses,
-			state:   EngineState{Adapters: map[string]string{}, Incarnation: "1"},
+			state:   EngineState{Incarnation: "1"},
 		}
 	}
 	f.config = note.Config{}.WithSections(s)
@@ -116,7 +116,7 @@
 	case "lose_request":
 		f.engines[s.Engine].loseRequest = s.Count
 	case "restart":
-		f.engines[s.Engine].state = EngineState{Adapters: map[string]string{}, Incarnation: s.Incarnation}
+		f.engines[s.Engine].state = EngineState{Incarnation: s.Incarnation}
 	case "log":
 		return cmp.Diff(s.Log, f.engines[s.Engine].log)
 	case "spacing":
--- a/order/task.go
+++ b/order/task.go
@@ -156,15 +156,15 @@
 		"version": r.Command.Version,
 		"fence":   r.Command.Fence,
 	})
-	if err != nil && fault.VerdictOf(err) != fault.NotRun {
+	if err != nil && fault.VerdictOf(err) == fault.MayHaveRun {
 		s.count("order_open_total")
 		log.WithError(err).Warn("outcome of engine order is open")
 		return outcome{wait: retryPeriod, open: true}
 	}
 	s.update(t.name, func(known *targetState) { known.concluded = r.Command.Fence })
 	if err != nil {
-		s.count("order_refused_total")
-		log.WithError(err).Warn("engine order not run")
+		s.count("order_failed_total")
+		log.WithError(err).Warn("engine order failed")
 		t.close(r)
 		return outcome{wait: retryPeriod, open: true}
 	}
