Tell the caller's repeats from internal retries

Change: runs up to the pipeline's stages times the caller's attempts are the caller's. A test with one attempt and a node that runs each stage twice must fail the property; cases with several attempts no longer do by this alone.

Conclusion: kept; the property stays as strict for requests sent once, and the double runs of non-idempotent stages are counted without regard to attempts.

--- a/trial/cost.go
+++ b/trial/cost.go
@@ -36,7 +36,7 @@
 	services map[string]Cost
 	accounts map[string]Cost
 	works    int // Pairs of a request and a stage that ran.
-	repeats  int // Runs beyond the expected ones.
+	repeats  int // Runs beyond those that the caller's attempts explain.
 	doubles  int // Non-idempotent runs beyond the expected ones.
 	falsely  int // Requests that ran although every attempt was refused with "not run".
 }
@@ -67,8 +67,9 @@
 // charge charges the work of one request at one service.
 func (a *accounting) charge(r record, c emul.Cost) {
 	expected := max(r.planned.visits[c.Service], 1)
-	a.works += min(c.Runs, expected)
-	a.repeats += max(0, c.Runs-expected)
+	asked := expected * max(r.attempts, 1)
+	a.works += min(c.Runs, asked)
+	a.repeats += max(0, c.Runs-asked)
 	a.doubles += max(0, c.Keyed-r.planned.onceVisits[c.Service])
 	wasted := time.Duration(0)
 	switch {
@@ -81,7 +82,7 @@
 	a.accounts[r.planned.account] = a.accounts[r.planned.account].plus(c, wasted)
 }
 
-// retryShare returns the repeated runs per expected run.
+// retryShare returns the runs that only internal retries explain, per run.
 func (a *accounting) retryShare() float64 {
 	if a.works == 0 {
 		return 0
--- a/trial/fake_test.go
+++ b/trial/fake_test.go
@@ -157,7 +157,7 @@
 	stages := f.Config().Sections.Pipelines[name].Stages
 	for i, v := range stages {
 		answer, err := f.stage(v, input, previous)
-		if f.defect == "double" && !v.Idempotent {
+		if f.defect == "repeats" || f.defect == "double" && !v.Idempotent {
 			answer, err = f.stage(v, input, previous)
 		}
 		if f.defect == "always_not_run" && i == len(stages)-1 {
