--- a/target/finish.go
+++ b/target/finish.go
@@ -114,7 +114,7 @@
 	}
 	t.lastShrink = now
 	t.phase = Warm
-	t.limit = max(1, t.limit*shrinkFactor)
+	t.limit = max(float64(t.Settings.ColdLimit), t.limit*shrinkFactor)
 	t.threshold = t.limit
 }
 
