Allow short calls 20 ms of jitter

Cause: the latency of a call of 10 ms says little by ratio: a pause of the machine or the network is a multiple of it. Change: the usual latency counts with 20 ms more where a ratio to it is taken.

--- a/target/norm.go
+++ b/target/norm.go
@@ -6,6 +6,8 @@
 	recentGain = 0.1
 	normFall   = 0.2
 	normRise   = 0.005
+
+	slack = float64(20 * time.Millisecond) // Jitter that is no sign of load.
 )
 
 // norm compares the recent mean of a latency with its usual value. The usual
@@ -25,7 +27,7 @@
 	if !n.known() || sample <= 0 {
 		return 1
 	}
-	return float64(sample) / n.usual
+	return float64(sample) / (n.usual + slack)
 }
 
 // excess returns the recent mean over the usual value, 1 while that is not known.
@@ -33,7 +35,7 @@
 	if !n.known() {
 		return 1
 	}
-	return n.recent / n.usual
+	return n.recent / (n.usual + slack)
 }
 
 func (n *norm) add(sample time.Duration) {
