Take latency at the lowest limit for the norm

Cause: a service that becomes slower for good kept its old norm, so its targets stayed at the cold limit. A try that learned the norm in the cold phase changed nothing, since the targets were warm; it was reverted. Change: where latency is above the norm at the cold limit already, it becomes the norm.

--- a/target/finish.go
+++ b/target/finish.go
@@ -107,13 +107,19 @@
 	}
 }
 
-// shrink lowers the limit at most once in the time of one call.
+// shrink lowers the limit at most once in the time of one call. If latency is
+// high at the lowest limit already, the load is not its cause: it is the norm now.
 func (t *Target) shrink(now time.Time, latency time.Duration) {
 	if now.Sub(t.lastShrink) < latency {
 		return
 	}
 	t.lastShrink = now
 	t.phase = Warm
+	if t.limit <= float64(t.Settings.ColdLimit) {
+		t.first.accept()
+		t.between.accept()
+		return
+	}
 	t.limit = max(float64(t.Settings.ColdLimit), t.limit*shrinkFactor)
 	t.threshold = t.limit
 }
--- a/target/norm.go
+++ b/target/norm.go
@@ -56,6 +56,9 @@
 	n.usual += gain * (n.recent - n.usual)
 }
 
+// accept takes the recent mean for the usual value.
+func (n *norm) accept() { n.usual = n.recent }
+
 // restart forgets the recent mean, after which the usual value still counts.
 func (n *norm) restart() { n.recent = n.usual }
 
