Carry out engine orders on nodes and ask lagging nodes for their revision

Cause: the order service was not part of a node, and the wait for a note saw other nodes' revisions only by their heartbeats, 1.1 s late on 4 nodes.

--- a/admin/server.go
+++ b/admin/server.go
@@ -36,6 +36,8 @@
 	Notes    Notes
 	// Status describes this node and what it knows of the others.
 	Status func() Status
+	// Lagging names the live nodes on which a revision is not in force.
+	Lagging func(ctx context.Context, revision int64) []string
 	// Burn returns the node's mergeable service-level snapshot as JSON.
 	Burn func() any
 	// Ledger looks up the record of a request for operators.
@@ -225,25 +227,16 @@
 	}
 	milliseconds, _ := strconv.ParseInt(string(query.Peek("timeout_ms")), 10, 64)
 	limit := min(time.Duration(milliseconds)*time.Millisecond, maxWait)
-	deadline := time.Now().Add(limit)
-	lagging := s.lagging(revision)
-	for len(lagging) > 0 && time.Now().Before(deadline) {
+	wait, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	lagging := s.Lagging(wait, revision)
+	for len(lagging) > 0 && wait.Err() == nil {
 		time.Sleep(waitInterval)
-		lagging = s.lagging(revision)
+		lagging = s.Lagging(wait, revision)
 	}
 	reply(ctx, Accepted{Revision: revision, InForce: len(lagging) == 0, Lagging: lagging})
 }
 
-func (s *Server) lagging(revision int64) []string {
-	var names []string
-	for _, m := range s.Status().Members {
-		if m.Revision < revision && m.State == "alive" {
-			names = append(names, m.VM)
-		}
-	}
-	return names
-}
-
 func reply(ctx *fasthttp.RequestCtx, value any) {
 	body, err := json.MarshalIndent(value, "", "  ")
 	if err != nil {
--- a/node/node.go
+++ b/node/node.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/google/uuid"
 	"github.com/gravitational/trace"
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
@@ -24,6 +25,7 @@
 	"bergamotworks/ledger"
 	"bergamotworks/member"
 	"bergamotworks/note"
+	"bergamotworks/order"
 	"bergamotworks/owner"
 	"bergamotworks/peer"
 	"bergamotworks/poison"
@@ -53,6 +55,7 @@
 	engine   *engine.Client
 	owner    *owner.Service
 	flow     *flow.Service
+	orders   *order.Service
 	entry    *entry.Server
 	admin    *admin.Server
 	stopping atomic.Bool
@@ -85,7 +88,7 @@
 	parts := []interface {
 		Run(ctx context.Context) error
 	}{
-		n.peers, n.members, n.conf, n.ledger, n.owner, n.flow, n.entry, n.admin,
+		n.peers, n.members, n.conf, n.ledger, n.owner, n.flow, n.orders, n.entry, n.admin,
 	}
 	for _, p := range parts {
 		group.Go(func() error { return p.Run(ctx) })
@@ -102,6 +105,7 @@
 func (n *Node) closeParts() {
 	_ = n.entry.Close()
 	_ = n.flow.Close()
+	_ = n.orders.Close()
 	_ = n.peers.Close()
 	_ = n.owner.Close()
 	_ = n.engine.Close()
@@ -226,6 +230,7 @@
 	n.assemblePeers(listeners.peer)
 	n.assembleState()
 	n.assembleWork()
+	n.assembleOrders()
 	n.assembleServers(listeners)
 	n.connect()
 	return nil
@@ -310,13 +315,21 @@
 	}
 }
 
+func (n *Node) assembleOrders() {
+	n.orders = &order.Service{
+		Self: n.Settings.VM + "/" + uuid.NewString(), Store: n.reach, Engine: order.EngineClient{Client: n.engine},
+		Clock: n.Clock, Random: n.Random, Log: n.logger("order"), Metrics: n.metrics,
+		Config: n.conf.Current, Owns: n.owner.OwnsTarget,
+	}
+}
+
 func (n *Node) assembleServers(l listeners) {
 	n.entry = &entry.Server{
 		Listener: l.callers, Flow: n.flow, Config: n.conf.Current, Ready: n.Ready, Accepts: n.accepts,
 		KeyTime: ledger.KeyTime, Clock: n.Clock, Random: n.Random, Log: n.logger("entry"), Metrics: n.metrics,
 	}
 	n.admin = &admin.Server{
-		Listener: l.admin, Notes: n.conf, Status: n.status, Burn: n.burn, Ledger: n.lookup, Ready: n.Ready,
+		Listener: l.admin, Notes: n.conf, Status: n.status, Lagging: n.lagging, Burn: n.burn, Ledger: n.lookup, Ready: n.Ready,
 		Log: n.logger("admin"), Metrics: n.metrics,
 	}
 }
@@ -333,6 +346,7 @@
 	n.peers.Register(ledger.MethodLookup, peer.Typed(n.ledger.HandleLookup))
 	n.peers.Register(conf.MethodFetch, peer.Typed(n.conf.HandleFetch))
 	n.peers.Register(conf.MethodAnnounce, peer.Typed(n.conf.HandleAnnounce))
+	n.peers.Register(methodRevision, peer.Typed(n.handleRevision))
 	n.members.Subscribe(n.membersChanged)
 	n.conf.Subscribe(n.configChanged)
 }
--- a/owner/service.go
+++ b/owner/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -279,6 +280,17 @@
 	return HandoverAnswer{}, nil
 }
 
+// OwnsTarget reports whether this node admits work to a target.
+func (s *Service) OwnsTarget(name string) bool {
+	s.once.Do(s.init)
+	for _, o := range s.list() {
+		if slices.Contains(o.spec().Targets, name) {
+			return true
+		}
+	}
+	return false
+}
+
 // Summaries returns the state of every pool that this node owns.
 func (s *Service) Summaries() []pool.Summary {
 	s.once.Do(s.init)
