--- /dev/null
+++ b/burn/cost.go
@@ -0,0 +1,40 @@
+package burn
+
+// CostKey names what a cost is charged to.
+type CostKey struct {
+	Account  string `json:"account"`
+	Pipeline string `json:"pipeline"`
+	Stage    string `json:"stage"`
+	Service  string `json:"service"`
+}
+
+// Cost is the work of targets, with the part that was wasted.
+type Cost struct {
+	Calls         uint64  `json:"calls"`
+	TargetSeconds float64 `json:"target_seconds"`
+	Tokens        uint64  `json:"tokens"`
+	WastedCalls   uint64  `json:"wasted_calls"`
+	WastedSeconds float64 `json:"wasted_seconds"`
+	WastedTokens  uint64  `json:"wasted_tokens"`
+}
+
+func (c Cost) plus(o Cost) Cost {
+	c.Calls += o.Calls
+	c.TargetSeconds += o.TargetSeconds
+	c.Tokens += o.Tokens
+	c.WastedCalls += o.WastedCalls
+	c.WastedSeconds += o.WastedSeconds
+	c.WastedTokens += o.WastedTokens
+	return c
+}
+
+// cost returns the cost of one attempt.
+func (s StageCost) cost() Cost {
+	c := Cost{Calls: 1, TargetSeconds: s.TargetTime.Seconds(), Tokens: uint64(max(0, s.Tokens))}
+	if s.Wasted {
+		c.WastedCalls = c.Calls
+		c.WastedSeconds = c.TargetSeconds
+		c.WastedTokens = c.Tokens
+	}
+	return c
+}
--- /dev/null
+++ b/burn/series.go
@@ -0,0 +1,132 @@
+package burn
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Dimension says by what the outcomes of an objective are split.
+type Dimension int
+
+// The dimensions.
+const (
+	// Total counts all outcomes of the objective.
+	Total Dimension = iota
+	// Domain splits by failure domain.
+	Domain
+	// Account splits by client account.
+	Account
+)
+
+// Key names a series.
+type Key struct {
+	Objective string    `json:"objective"`
+	Dimension Dimension `json:"dimension"`
+	Name      string    `json:"name,omitempty"` // Failure domain or client account.
+}
+
+// Counts are numbers of requests.
+type Counts struct {
+	Total      uint64 `json:"total"`
+	Good       uint64 `json:"good"`
+	Refused    uint64 `json:"refused"`
+	MayHaveRun uint64 `json:"may_have_run"`
+}
+
+func (c Counts) plus(o Counts) Counts {
+	c.Total += o.Total
+	c.Good += o.Good
+	c.Refused += o.Refused
+	c.MayHaveRun += o.MayHaveRun
+	return c
+}
+
+const (
+	bucketTime  = 10 * time.Second
+	shortWindow = 5 * time.Minute
+	longWindow  = time.Hour
+	bucketCount = int(longWindow / bucketTime)
+
+	maxLatencyMS    = 10 * 60 * 1000
+	latencyFigures  = 2 // Significant decimal figures of a histogram.
+	histogramUnit   = time.Millisecond
+	shortBuckets    = int(shortWindow / bucketTime)
+	otherName       = "(other)"
+	noObjective     = "(none)"
+	maxSeries       = 4096
+	maxCosts        = 16384
+	maxDomainSeries = 512
+)
+
+// series holds the outcomes of one key in a ring of short buckets.
+type series struct {
+	all        Counts
+	ring       [bucketCount]ringBucket
+	latency    *hdrhistogram.Histogram // Nil for client accounts.
+	firstToken *hdrhistogram.Histogram
+}
+
+type ringBucket struct {
+	number  uint32 // Number of the bucket since 1970.
+	total   uint32
+	good    uint32
+	refused uint32
+	open    uint32 // Requests that may have run.
+}
+
+func newSeries(dimension Dimension) *series {
+	s := &series{}
+	if dimension != Account {
+		s.latency = newHistogram()
+	}
+	if dimension == Total {
+		s.firstToken = newHistogram()
+	}
+	return s
+}
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, maxLatencyMS, latencyFigures)
+}
+
+func bucketNumber(at time.Time) uint32 { return uint32(at.Unix() / int64(bucketTime/time.Second)) }
+
+func (s *series) add(o Outcome, counts Counts) {
+	s.all = s.all.plus(counts)
+	number := bucketNumber(o.At)
+	b := &s.ring[number%uint32(bucketCount)]
+	if b.number != number {
+		*b = ringBucket{number: number}
+	}
+	b.total += uint32(counts.Total)
+	b.good += uint32(counts.Good)
+	b.refused += uint32(counts.Refused)
+	b.open += uint32(counts.MayHaveRun)
+	observe(s.latency, o.Latency)
+	observe(s.firstToken, o.FirstToken)
+}
+
+func observe(h *hdrhistogram.Histogram, d time.Duration) {
+	if h == nil || d <= 0 {
+		return
+	}
+	// A value beyond the range of the histogram counts as its maximum.
+	_ = h.RecordValue(min(max(1, int64(d/histogramUnit)), maxLatencyMS))
+}
+
+// window sums the newest buckets.
+func (s *series) window(now time.Time, buckets int) Counts {
+	var sum Counts
+	newest := bucketNumber(now)
+	for _, b := range s.ring {
+		if b.number <= newest && newest-b.number < uint32(buckets) {
+			sum = sum.plus(b.counts())
+		}
+	}
+	return sum
+}
+
+func (b ringBucket) counts() Counts {
+	return Counts{Total: uint64(b.total), Good: uint64(b.good), Refused: uint64(b.refused), MayHaveRun: uint64(b.open)}
+}
--- /dev/null
+++ b/burn/table.go
@@ -0,0 +1,75 @@
+package burn
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+// maxAccountRows is the number of client accounts that the table lists.
+const maxAccountRows = 20
+
+// WriteTable writes the report as text for a terminal.
+func (r Report) WriteTable(w io.Writer) error {
+	t := &table{Writer: tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)}
+	t.line("%d nodes, %s to %s\n", r.Nodes, r.Since.UTC().Format(time.DateTime), r.At.UTC().Format(time.DateTime))
+	t.line("OBJECTIVE\tSPLIT\tTARGET\tATTAINED\tBURN 5M\tBURN 1H\tBUDGET LEFT\tREQUESTS\tREFUSED\tOPEN\tP50\tP99\tTTFT P95")
+	for _, o := range r.Objectives {
+		t.objective(o)
+	}
+	t.line("\nSTAGE\tCALLS\tTARGET S\tTOKENS\tWASTED S\tWASTED")
+	t.costs(r.Stages)
+	t.line("\nACCOUNT\tCALLS\tTARGET S\tTOKENS\tWASTED S\tWASTED")
+	t.costs(r.Accounts[:min(maxAccountRows, len(r.Accounts))])
+	t.line("")
+	t.costs(costRows([]CostRecord{{Cost: r.Total}}, func(CostKey) string { return "total" }))
+	if t.err != nil {
+		return trace.Wrap(t.err)
+	}
+	return trace.Wrap(t.Flush())
+}
+
+// table writes lines of aligned columns and keeps the first error.
+type table struct {
+	*tabwriter.Writer
+	err error
+}
+
+func (t *table) line(format string, args ...any) {
+	if t.err == nil {
+		_, t.err = fmt.Fprintf(t, format+"\n", args...)
+	}
+}
+
+func (t *table) objective(o ObjectiveRow) {
+	split := "all"
+	if o.Dimension != Total {
+		split = o.Dimension.String() + " " + o.Name
+	}
+	target, short, long, left := "-", "-", "-", "-"
+	if o.Target > 0 {
+		target, left = percent(o.Target), percent(o.BudgetLeft)
+		short, long = fmt.Sprintf("%.1f", o.ShortBurn), fmt.Sprintf("%.1f", o.LongBurn)
+	}
+	t.line("%s\t%s\t%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d\t%s\t%s\t%s", o.Objective, split, target, percent(o.Attainment),
+		short, long, left, o.Total, o.Refused, o.MayHaveRun,
+		milliseconds(o.LatencyP50MS), milliseconds(o.LatencyP99MS), milliseconds(o.FirstTokenP95MS))
+}
+
+func (t *table) costs(rows []CostRow) {
+	for _, c := range rows {
+		t.line("%s\t%d\t%.1f\t%d\t%.1f\t%s", c.Name, c.Calls, c.TargetSeconds, c.Tokens, c.WastedSeconds, percent(c.WastedShare))
+	}
+}
+
+func percent(share float64) string { return fmt.Sprintf("%.2f%%", 100*share) }
+
+func milliseconds(ms int64) string {
+	if ms == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%d ms", ms)
+}
