--- a/burn/table.go
+++ b/burn/table.go
@@ -65,7 +65,13 @@
 	}
 }
 
-func percent(share float64) string { return fmt.Sprintf("%.2f%%", 100*share) }
+func percent(share float64) string {
+	text := fmt.Sprintf("%.2f%%", 100*share)
+	if text == "-0.00%" {
+		return text[1:]
+	}
+	return text
+}
 
 func milliseconds(ms int64) string {
 	if ms == 0 {
