--- a/order/service.go
+++ b/order/service.go
@@ -213,41 +213,6 @@
 	}
 }
 
-// Records returns the last order to each target.
-func (s *Service) Records(ctx context.Context) ([]Record, error) {
-	response, err := s.Store.Range(ctx, ports.RangeRequest{Key: recordPrefix, Prefix: true})
-	if err != nil {
-		return nil, err
-	}
-	var records []Record
-	for _, e := range response.Entries {
-		r, err := decodeRecord(e)
-		if err != nil {
-			return nil, err
-		}
-		records = append(records, r)
-	}
-	return records, nil
-}
-
-// Abandon closes an open order whose issuer will certainly not send it any
-// more. The operator vouches for that; the fencing number guards against a
-// mix-up.
-func (s *Service) Abandon(ctx context.Context, target string, fence int64) error {
-	r, err := readRecord(ctx, s.Store, target)
-	if err != nil {
-		return fault.From(err).WithVerdict(fault.NotRun)
-	}
-	if r.Phase != PhaseOpen || r.Command.Fence != fence {
-		return fault.New(fault.Conflict, fault.NotRun, "target %s has no open order %d", target, fence)
-	}
-	replaced, err := r.replace(ctx, s.Store, r.withPhase(PhaseSettled))
-	if err == nil && !replaced {
-		return fault.New(fault.Conflict, fault.NotRun, "the order of target %s has changed", target)
-	}
-	return err
-}
-
 // jitter returns a time from three to five quarters of the period.
 func (s *Service) jitter(period time.Duration) time.Duration {
 	return period*3/4 + time.Duration(s.Random.Uint64()%uint64(period/2))
