Read the head again when it moves on during an offer

Cause: in about one of 15 runs the scene with racing operators failed: the winner removed a section between the loser's reads of the head and of the section, and the loser was told not_found instead of conflict. Sharper runs then showed a second one: a stale read made an offer on the present revision fail with a conflict that named an older revision as the present one. Change: a section that is gone lets the head be read again; a base revision above the one read is taken for a stale read and tried again. Conclusion: conflicts name the present revision.

--- a/conf/accept.go
+++ b/conf/accept.go
@@ -27,6 +27,7 @@
 // context ends while the outcome of the swap is open; the same note may be
 // offered again to settle it.
 func (s *Service) Offer(ctx context.Context, n note.Note) (note.Config, error) {
+	var behind error
 	for range maxOfferTries {
 		p, i, err := s.present(ctx)
 		if err != nil {
@@ -35,22 +36,44 @@
 		if p.has(n.ID) {
 			return i.config, nil
 		}
-		if behind := s.current.Load().revision() > p.head.Revision; behind {
-			if err := s.restore(ctx, p.modRevision); err != nil {
-				return note.Config{}, neverSent(err)
-			}
-			continue
+		if behind = s.behind(ctx, n, p, i); behind == nil {
+			return s.offer(ctx, n, p, i)
 		}
-		next, err := s.next(n, i)
-		if err != nil {
-			return note.Config{}, err
+		select {
+		case <-s.Clock.After(settlePeriod):
+		case <-ctx.Done():
+			return note.Config{}, neverSent(ctx.Err())
 		}
-		if err := s.accept(ctx, n, p, i, next); err != nil {
-			return note.Config{}, err
+	}
+	return note.Config{}, neverSent(behind)
+}
+
+// offer makes the next configuration and writes it over the head that was read.
+func (s *Service) offer(ctx context.Context, n note.Note, p present, i *image) (note.Config, error) {
+	next, err := s.next(n, i)
+	if err != nil {
+		return note.Config{}, err
+	}
+	if err := s.accept(ctx, n, p, i, next); err != nil {
+		return note.Config{}, err
+	}
+	return next.config, nil
+}
+
+// behind returns an error if the store has shown less than what this node has
+// in force or than what the operator has seen. The read may have been stale, or
+// the store has come back older; then what is in force is restored.
+func (s *Service) behind(ctx context.Context, n note.Note, p present, i *image) error {
+	if i.revision() > p.head.Revision {
+		if err := s.restore(ctx, p.modRevision); err != nil {
+			return err
 		}
-		return next.config, nil
+		return fault.New(fault.Unavailable, fault.NotRun, "the store is behind the configuration in force")
 	}
-	return note.Config{}, fault.New(fault.Unavailable, fault.NotRun, "the store is behind the configuration in force")
+	if n.BaseRevision > i.revision() {
+		return s.conflict(n, i)
+	}
+	return nil
 }
 
 // CheckNote reports whether a note could be accepted now.
@@ -72,7 +95,8 @@
 	return p.history, nil
 }
 
-// present reads the head and its sections, and puts them in force if newer.
+// present reads the store and returns its head with the configuration in force,
+// which is at least as new.
 func (s *Service) present(ctx context.Context) (present, *image, error) {
 	p, err := s.readStore(ctx)
 	if err != nil {
@@ -82,11 +106,7 @@
 	if i == nil {
 		i = &image{}
 	}
-	if i.revision() == p.head.Revision {
-		return p, i, nil
-	}
-	i, err = load(ctx, s.Store, p.head, i)
-	return p, i, err
+	return p, i, nil
 }
 
 // next returns the image that a note makes of the present one.
--- a/conf/head.go
+++ b/conf/head.go
@@ -100,9 +100,6 @@
 
 // load reads the parts that a head names and that the known image lacks.
 func load(ctx context.Context, store ports.Store, h head, known *image) (*image, error) {
-	if h.Revision == 0 {
-		return &image{}, nil
-	}
 	parts := map[string]part{}
 	var missing []string
 	for name, hash := range h.Sections {
--- a/conf/tasks.go
+++ b/conf/tasks.go
@@ -5,6 +5,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"bergamotworks/fault"
 	"bergamotworks/ports"
 )
 
@@ -26,8 +27,24 @@
 	s.post(storeRead{revision: p.head.Revision, modRevision: p.modRevision, err: err})
 }
 
-// readStore reads the head and puts it in force if it is newer.
+// maxReadTries bounds the reads of a head whose sections go away meanwhile.
+const maxReadTries = 3
+
+// readStore reads the head and puts it in force if it is newer. Sections that
+// are gone mean that the head has moved on, so it is read again.
 func (s *Service) readStore(ctx context.Context) (present, error) {
+	var p present
+	var err error
+	for range maxReadTries {
+		p, err = s.readOnce(ctx)
+		if err == nil || fault.From(err).Kind != fault.NotFound {
+			break
+		}
+	}
+	return p, err
+}
+
+func (s *Service) readOnce(ctx context.Context) (present, error) {
 	p, err := readHead(ctx, s.Store)
 	if err != nil {
 		return present{}, err
