Refuse engine orders that contradict each other

Cause: two orders that undo each other on a target would alternate for ever. Change: note.Check finds load and unload of one adapter version, and two models or two roles, for a common target.

--- a/note/check.go
+++ b/note/check.go
@@ -55,6 +55,7 @@
 		func() error { return each("accounts", s.Accounts, checkAccount) },
 		func() error { return each("objectives", s.Objectives, s.checkObjective) },
 		func() error { return each("orders", s.Orders, s.checkOrder) },
+		s.checkOrders,
 		func() error { return each("limits", s.Limits, checkLimits) },
 	}
 	for _, check := range checks {
--- a/note/checkwork.go
+++ b/note/checkwork.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 
 	"bergamotworks/fault"
 )
@@ -111,3 +113,34 @@
 	}
 	return within(path, value, low, high)
 }
+
+// checkOrders finds two orders that would undo one another on a target.
+func (s Sections) checkOrders() error {
+	names := slices.Sorted(maps.Keys(s.Orders))
+	for i, name := range names {
+		for _, earlier := range names[:i] {
+			if s.Orders[earlier].contradicts(s.Orders[name]) {
+				return fault.BadField("orders."+name, "contradicts order %s", earlier)
+			}
+		}
+	}
+	return nil
+}
+
+// contradicts reports whether two orders concern a common target and cannot
+// both hold there.
+func (o EngineOrder) contradicts(other EngineOrder) bool {
+	if o.Service != other.Service || o.Target != "" && other.Target != "" && o.Target != other.Target {
+		return false
+	}
+	same := o.Subject == other.Subject && o.Version == other.Version
+	switch o.Kind {
+	case LoadAdapter:
+		return other.Kind == UnloadAdapter && same
+	case UnloadAdapter:
+		return other.Kind == LoadAdapter && same
+	case LoadModel, ChangeRole:
+		return other.Kind == o.Kind && !same
+	}
+	return false
+}
