--- a/trial/print.go
+++ b/trial/print.go
@@ -73,15 +73,23 @@
 func (p *printer) times(r Result) {
 	p.text("")
 	p.line("time\tcount\tp50 ms\tp95 ms\tp99 ms\t")
-	rows := []struct {
-		name  string
-		times Percentiles
-	}{{"whole answer", r.Latency}, {"first token", r.FirstToken}, {"between tokens", r.BetweenTokens}}
-	for _, v := range rows {
+	for _, v := range r.timeRows() {
 		p.line("%s\t%d\t%.1f\t%.1f\t%.1f\t", v.name, v.times.Count, v.times.P50, v.times.P95, v.times.P99)
 	}
 }
 
+// timeRow is a time with its name.
+type timeRow struct {
+	name  string
+	times Percentiles
+}
+
+func (r Result) timeRows() []timeRow {
+	return []timeRow{
+		{"whole answer", r.Latency}, {"first token", r.FirstToken}, {"between tokens", r.BetweenTokens},
+	}
+}
+
 func (p *printer) costs(title string, costs map[string]Cost) {
 	p.text("")
 	p.line("cost by %s\tbusy s\twasted s\twasted\ttokens\t", title)
@@ -97,10 +105,6 @@
 		p.text("not answered: %d %s", r.Failures[name], name)
 	}
 	for _, v := range r.Properties {
-		verdict := "pass"
-		if !v.Pass {
-			verdict = "FAIL"
-		}
-		p.text("%s  %s: %g (at most %g)", verdict, v.Name, v.Value, v.Limit)
+		p.text("%s  %s: %.4g (at most %g)", v.verdict(), v.Name, v.Value, v.Limit)
 	}
 }
--- a/trial/property.go
+++ b/trial/property.go
@@ -20,6 +20,14 @@
 	return Property{Name: name, Value: value, Limit: limit, Pass: value <= limit}
 }
 
+// verdict returns the word for tables.
+func (p Property) verdict() string {
+	if p.Pass {
+		return "pass"
+	}
+	return "FAIL"
+}
+
 // properties judges the run.
 func (e *experiment) properties(records []record, a *accounting, targets emul.Snapshot) []Property {
 	wrong := 0
