Write the page of an experiment

Cause: the trial command printed tables and JSON only; the first plots drew account names over each other, hid bars behind the legend and started the requests' axis at 45.

Change: -page writes the report page, -seed replaces the script's seed. Bars lie on their side, axes start at zero and leave room for the legend.

The page was not opened in a browser.

--- a/chart/draw.go
+++ b/chart/draw.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"html/template"
 	"image/color"
+	"slices"
 	"strconv"
 
 	"github.com/gravitational/trace"
@@ -19,10 +20,14 @@
 	plotWidth  = vg.Length(420)
 	plotHeight = vg.Length(250)
 	lineWidth  = vg.Length(1.8)
-	barWidth   = vg.Length(22)
+	barWidth   = vg.Length(18)
 	fontSize   = vg.Length(11)
+	legendGap  = vg.Length(6)
 )
 
+// headroom is the range of an axis over its largest value, for the legend.
+const headroom = 1.2
+
 // palette returns the colour of a series; the colours stay apart for most
 // readers with impaired colour vision.
 func palette(index int) color.Color {
@@ -47,32 +52,34 @@
 	}
 	p.Legend.TextStyle.Font.Size = fontSize
 	p.Legend.Top = true
+	p.Legend.XOffs, p.Legend.YOffs = -legendGap, -legendGap
 	p.Add(plotter.NewGrid())
 	return p
 }
 
-// draw draws the lines and numbers the marks.
-func (l LinePlot) draw() (template.HTML, error) {
+// plot draws the lines and numbers the marks.
+func (l LinePlot) plot() (*plot.Plot, error) {
 	p := newPlot(l.XLabel, l.YLabel)
 	for i, s := range l.Series {
 		line, err := plotter.NewLine(s.points())
 		if err != nil {
-			return "", trace.Wrap(err, "series %s", s.Name)
+			return nil, trace.Wrap(err, "series %s", s.Name)
 		}
 		line.Color = palette(i)
 		line.Width = lineWidth
 		p.Add(line)
 		p.Legend.Add(s.Name, line)
 	}
+	p.Y.Min, p.Y.Max = min(p.Y.Min, 0), p.Y.Max*headroom
 	if l.YMax > l.YMin {
 		p.Y.Min, p.Y.Max = l.YMin, l.YMax
 	}
 	if len(l.Marks) > 0 {
 		if err := l.addMarks(p); err != nil {
-			return "", err
+			return nil, err
 		}
 	}
-	return render(p)
+	return p, nil
 }
 
 func (s Series) points() plotter.XYs {
@@ -110,15 +117,17 @@
 	return nil
 }
 
-// draw draws the stacks on top of each other.
-func (b BarPlot) draw() (template.HTML, error) {
-	p := newPlot("", b.YLabel)
+// plot draws the stacks as parts of horizontal bars, which leave room for long
+// labels. The first label is at the top.
+func (b BarPlot) plot() (*plot.Plot, error) {
+	p := newPlot(b.ValueLabel, "")
 	var below *plotter.BarChart
 	for i, s := range b.Stacks {
-		bars, err := plotter.NewBarChart(plotter.Values(s.Values), barWidth)
+		bars, err := plotter.NewBarChart(plotter.Values(reversed(s.Values)), barWidth)
 		if err != nil {
-			return "", trace.Wrap(err, "stack %s", s.Name)
+			return nil, trace.Wrap(err, "stack %s", s.Name)
 		}
+		bars.Horizontal = true
 		bars.Color = palette(i)
 		bars.LineStyle.Width = 0
 		if below != nil {
@@ -128,8 +137,15 @@
 		p.Add(bars)
 		p.Legend.Add(s.Name, bars)
 	}
-	p.NominalX(b.Labels...)
-	return render(p)
+	p.NominalY(reversed(b.Labels)...)
+	p.X.Max *= headroom
+	return p, nil
+}
+
+func reversed[S ~[]E, E any](list S) S {
+	turned := slices.Clone(list)
+	slices.Reverse(turned)
+	return turned
 }
 
 // render returns the plot as an SVG element.
--- a/chart/page.go
+++ b/chart/page.go
@@ -3,6 +3,8 @@
 import (
 	"embed"
 	"html/template"
+
+	"gonum.org/v1/plot"
 )
 
 //go:embed page.html
@@ -25,21 +27,35 @@
 	Marks []Mark
 }
 
+// drawable is a plot of a report.
+type drawable interface {
+	plot() (*plot.Plot, error)
+}
+
 func (r Report) view() (view, error) {
 	v := view{Report: r}
 	for _, l := range r.Lines {
-		svg, err := l.draw()
-		if err != nil {
+		if err := v.add(l, figure{Title: l.Title, Marks: l.Marks}); err != nil {
 			return view{}, err
 		}
-		v.Plots = append(v.Plots, figure{Title: l.Title, SVG: svg, Marks: l.Marks})
 	}
 	for _, b := range r.Bars {
-		svg, err := b.draw()
-		if err != nil {
+		if err := v.add(b, figure{Title: b.Title}); err != nil {
 			return view{}, err
 		}
-		v.Plots = append(v.Plots, figure{Title: b.Title, SVG: svg})
 	}
 	return v, nil
 }
+
+// add draws a plot into a figure.
+func (v *view) add(d drawable, f figure) error {
+	p, err := d.plot()
+	if err != nil {
+		return err
+	}
+	if f.SVG, err = render(p); err != nil {
+		return err
+	}
+	v.Plots = append(v.Plots, f)
+	return nil
+}
--- a/chart/report.go
+++ b/chart/report.go
@@ -28,6 +28,7 @@
 	Series []Series
 	Marks  []Mark
 	// YMin and YMax fix the vertical range if YMax is greater than YMin.
+	// Otherwise it starts at zero.
 	YMin float64
 	YMax float64
 }
@@ -50,12 +51,12 @@
 	Label string
 }
 
-// BarPlot shows stacked bars, one for each label.
+// BarPlot shows stacked horizontal bars, one for each label.
 type BarPlot struct {
-	Title  string
-	YLabel string
-	Labels []string
-	Stacks []Stack // From the bottom up.
+	Title      string
+	ValueLabel string
+	Labels     []string
+	Stacks     []Stack // From the left.
 }
 
 // Stack is one part of every bar.
--- a/cmds/trial.go
+++ b/cmds/trial.go
@@ -1,12 +1,14 @@
 package cmds
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"flag"
 	"os"
 	"strings"
 
+	"github.com/gravitational/trace"
 	"github.com/peterbourgon/ff/v3/ffcli"
 	"github.com/sirupsen/logrus"
 
@@ -23,9 +25,14 @@
 	policy     string
 	nodes      int
 	rate       float64
+	seed       uint64
 	asJSON     bool
+	page       string
 }
 
+// pageMode lets everybody read a report page.
+const pageMode = 0o644
+
 // errFailed says that a property was broken in an experiment.
 var errFailed = errors.New("a property was broken or an event failed")
 
@@ -35,7 +42,9 @@
 	flags.StringVar(&v.policy, "policy", pool.Owned.String(), "admission policy: owned, or a baseline: round_robin, least_outstanding, split_limits")
 	flags.IntVar(&v.nodes, "nodes", 8, "number of nodes, 1 to 32")
 	flags.Float64Var(&v.rate, "max-rate", 0, "requests per second to which the capacity is lowered, zero for the deployment's own")
+	flags.Uint64Var(&v.seed, "seed", 0, "seed in place of the script's, zero for the script's own")
 	flags.BoolVar(&v.asJSON, "json", false, "print the result as JSON")
+	flags.StringVar(&v.page, "page", "", "file to write a report page in HTML to")
 }
 
 func (v *trialSettings) check() error {
@@ -82,6 +91,9 @@
 	if err != nil {
 		return err
 	}
+	if v.seed != 0 {
+		script.Seed = v.seed
+	}
 	result, err := trial.Run(ctx, script, trial.Options{
 		Start: demo.Starter(v.nodes, log), Policy: v.policy, Deployment: v.deployment, MaxRate: v.rate,
 		Network: ports.SystemNetwork{}, Clock: ports.SystemClock{},
@@ -89,15 +101,34 @@
 	if err != nil {
 		return err
 	}
-	if v.asJSON {
-		err = s.printJSON(result)
-	} else {
-		err = result.Print(s.stdout)
+	if err := s.writeTrial(v, result); err != nil {
+		return err
 	}
-	if err == nil && !result.Passed() {
+	if !result.Passed() {
 		return errFailed
 	}
-	return err
+	return nil
+}
+
+// writeTrial prints the result and writes the report page if one is asked for.
+func (s *shell) writeTrial(v trialSettings, result trial.Result) error {
+	if v.page != "" {
+		if err := writePage(v.page, result); err != nil {
+			return err
+		}
+	}
+	if v.asJSON {
+		return s.printJSON(result)
+	}
+	return result.Print(s.stdout)
+}
+
+func writePage(path string, result trial.Result) error {
+	var page bytes.Buffer
+	if err := result.Page().Write(&page); err != nil {
+		return err
+	}
+	return trace.Wrap(os.WriteFile(path, page.Bytes(), pageMode))
 }
 
 // readScript returns an embedded script or reads one from a file.
--- a/trial/page.go
+++ b/trial/page.go
@@ -63,7 +63,7 @@
 	}
 	return chart.LinePlot{
 		Title: "Attainment over time", XLabel: "start of the request in s", YLabel: "% whole and in time",
-		Series: []chart.Series{line}, Marks: r.plotMarks(), YMax: 105,
+		Series: []chart.Series{line}, Marks: r.plotMarks(), YMax: 120,
 	}
 }
 
@@ -82,7 +82,7 @@
 
 func costPlot(title string, costs map[string]Cost) chart.BarPlot {
 	useful, wasted := chart.Stack{Name: "useful"}, chart.Stack{Name: "wasted"}
-	plot := chart.BarPlot{Title: title, YLabel: "target time in s"}
+	plot := chart.BarPlot{Title: title, ValueLabel: "target time in s"}
 	for _, name := range slices.Sorted(maps.Keys(costs)) {
 		c := costs[name]
 		plot.Labels = append(plot.Labels, name)
