Judge silence by the usual time to the first token

Cause: a silent connection to an engine was noticed after eight times the typical time of a whole call, 7.2 s of a deadline of 8 s. Ruled out: the retry budget (no retry was refused) and silent idle connections (they are dropped after the first). Change: a warm target's answer must begin within twelve times its usual time to the first token, 750 ms at least; the typical time counts while nothing is known.

--- a/owner/execute.go
+++ b/owner/execute.go
@@ -145,18 +145,23 @@
 		Resume:           e.call.Resume,
 		ResumeTokens:     e.call.ResumeTokens,
 		Deadline:         deadline,
-		FirstByteTimeout: firstByteTimeout(service),
+		FirstByteTimeout: firstByteTimeout(service, action.FirstLimit),
 	}
 }
 
 const (
 	firstByteFactor  = 8 // Multiple of the typical time after which a target counts as silent.
-	firstByteMinimum = 1 * time.Second
+	firstByteMinimum = 750 * time.Millisecond
 )
 
-// firstByteTimeout bounds the silence of a target before its answer starts.
-func firstByteTimeout(service note.Service) time.Duration {
-	return max(firstByteMinimum, firstByteFactor*service.Typical())
+// firstByteTimeout bounds the silence of a target before its answer starts, by
+// what the pool has learned or else by the service's typical time.
+func firstByteTimeout(service note.Service, learned time.Duration) time.Duration {
+	limit := firstByteFactor * service.Typical()
+	if learned > 0 {
+		limit = min(limit, learned)
+	}
+	return max(firstByteMinimum, limit)
 }
 
 func (e *execution) chunks() func(engine.Chunk) {
--- a/pool/action.go
+++ b/pool/action.go
@@ -1,6 +1,10 @@
 package pool
 
-import "bergamotworks/fault"
+import (
+	"time"
+
+	"bergamotworks/fault"
+)
 
 // Action is something that a pool asks its node to do.
 type Action interface{ action() }
@@ -10,6 +14,9 @@
 	Attempt string `json:"attempt"`
 	Target  string `json:"target"`
 	Address string `json:"address"`
+	// FirstLimit is the time in which the answer must begin; zero means that
+	// nothing is known.
+	FirstLimit time.Duration `json:"first_limit_ns,omitempty"`
 }
 
 // Refuse asks to answer a call that was not dispatched and never will be.
--- a/pool/dispatch.go
+++ b/pool/dispatch.go
@@ -120,5 +120,7 @@
 	c.member = m
 	c.epoch = m.target.Epoch()
 	p.prefixes.use(c.Prefix, m.slot)
-	p.actions = append(p.actions, Dispatch{Attempt: c.Attempt, Target: m.name, Address: m.address})
+	p.actions = append(p.actions, Dispatch{
+		Attempt: c.Attempt, Target: m.name, Address: m.address, FirstLimit: m.target.FirstLimit(),
+	})
 }
--- a/target/finish.go
+++ b/target/finish.go
@@ -151,3 +151,16 @@
 	t.backoff = min(longestBackoff, max(firstBackoff, 2*t.backoff))
 	t.notBefore = now.Add(t.backoff)
 }
+
+// silenceFactor is the multiple of the usual time to the first token after which
+// a warm target counts as silent.
+const silenceFactor = 12
+
+// FirstLimit returns the time in which a warm target must begin its answer, zero
+// while the usual time is not known or the target is cold.
+func (t *Target) FirstLimit() time.Duration {
+	if t.phase == Cold || !t.first.known() {
+		return 0
+	}
+	return time.Duration(silenceFactor * max(t.first.usual, t.first.recent))
+}
