Refuse at the door what its stages together cannot end in time

Ruled out: the usual time of later stages alone as a margin (first try). Change: summaries name the longest waits by class and client account, route forecasts the time of stages from them, and flow refuses before the first stage and leaves later stages their time.

--- a/flow/run.go
+++ b/flow/run.go
@@ -114,6 +114,11 @@
 	if !ok {
 		return nil, fault.New(fault.NotFound, fault.NotRun, "no pipeline %q", request.Request.Pipeline)
 	}
+	if request.ResumeTokens == 0 {
+		if err := s.refuseHopeless(now, request.Request, pipeline); err != nil {
+			return nil, err
+		}
+	}
 	r := &run{
 		service: s, key: key, request: request.Request, pipeline: pipeline,
 		class: config.Sections.Classes[pipeline.Class], done: make(chan struct{}), started: now,
--- a/flow/stage.go
+++ b/flow/stage.go
@@ -156,7 +156,7 @@
 			Account:     r.request.Account,
 			Class:       r.pipeline.Class,
 			Stage:       r.request.Pipeline + "/" + g.stage.Name,
-			Deadline:    r.limit(),
+			Deadline:    g.stageLimit(),
 			Idempotent:  g.stage.Idempotent,
 			MustFinish:  r.class.MustFinish,
 			Prefix:      g.prefix(),
--- a/pool/summary.go
+++ b/pool/summary.go
@@ -1,8 +1,16 @@
 package pool
 
-import "time"
+import (
+	"time"
 
-const maxSummaryPrefixes = 16
+	"bergamotworks/queue"
+)
+
+const (
+	maxSummaryPrefixes = 16
+	maxSummaryWaits    = 16
+	shortestWait       = 50 * time.Millisecond // Shorter waits are not told.
+)
 
 // Summary is what other nodes learn of a pool.
 type Summary struct {
@@ -19,6 +27,9 @@
 	Cost time.Duration `json:"cost_ns"`
 	// Prefixes are some prompt prefixes that targets of the pool may hold.
 	Prefixes []uint64 `json:"prefixes,omitempty"`
+	// Waits are the longest waits by class and client account; others are near
+	// zero.
+	Waits []queue.Wait `json:"waits,omitempty"`
 }
 
 // Summary returns the pool's summary at now.
@@ -37,6 +48,7 @@
 		return s
 	}
 	s.Limit = int(p.speed(now))
+	s.Waits = p.queue.Waits(s.Cost, p.speed(now), shortestWait, maxSummaryWaits)
 	for _, m := range p.members {
 		s.Spare += m.free(now)
 	}
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -121,3 +121,17 @@
 		})
 	}
 }
+
+func TestWaits(t *testing.T) {
+	q := &queue.Queue{Classes: map[string]note.Class{"x": {Priority: 2, Share: 0.2}, "y": {Priority: 1, Share: 0.3}}}
+	entryGroup{ID: "a", Count: 13, Class: "x", Account: "a"}.push(q)
+	entryGroup{ID: "b", Count: 1, Class: "x", Account: "b"}.push(q)
+	entryGroup{ID: "c", Count: 2, Class: "y", Account: "a"}.push(q)
+	want := []queue.Wait{
+		{Class: "x", Account: "a", Wait: 40 * time.Millisecond}, // 14 calls at 0.35 of 10 at a time.
+		{Class: "y", Account: "a", Wait: 10 * time.Millisecond}, // 3 calls at 0.3 of 10 at a time.
+	}
+	if diff := cmp.Diff(want, q.Waits(10*time.Millisecond, 10, 6*time.Millisecond, 5)); diff != "" {
+		t.Errorf("(-want +got):\n%s", diff)
+	}
+}
--- /dev/null
+++ b/route/forecast.go
@@ -0,0 +1,49 @@
+package route
+
+import "time"
+
+// Work describes stage calls whose time is forecast.
+type Work struct {
+	Service string
+	Class   string
+	Account string
+}
+
+// Forecast returns the time that a call would take from now on, waiting
+// included, in the pool where it would end first. It is zero if some pool is not
+// known, so that nothing is refused for want of news.
+func (c *Chooser) Forecast(now time.Time, work Work) time.Duration {
+	least := time.Duration(-1)
+	for _, e := range c.open[work.Service] {
+		if took := e.forecast(now, work); least < 0 || took < least {
+			least = took
+		}
+	}
+	return max(0, least)
+}
+
+func (e *entry) forecast(now time.Time, work Work) time.Duration {
+	if !e.known(now) {
+		return 0
+	}
+	return fade(e.waitOf(work), now.Sub(e.seen)) + e.summary.Cost
+}
+
+// waitOf returns the wait that the last summary gives for some work.
+func (e *entry) waitOf(work Work) time.Duration {
+	for _, w := range e.summary.Waits {
+		if w.Class == work.Class && w.Account == work.Account {
+			return w.Wait
+		}
+	}
+	return 0
+}
+
+// fade returns what is left of a wait some time after it was told.
+func fade(wait, age time.Duration) time.Duration {
+	left := freshFor - age
+	if left <= 0 {
+		return 0
+	}
+	return time.Duration(float64(wait) * float64(left) / float64(freshFor))
+}
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -30,6 +30,8 @@
 	Refused string         `json:"refused"`
 	WaitMS  int64          `json:"wait_ms"`
 	Choose  *choice        `json:"choose"`
+	Work    *route.Work    `json:"work"`
+	WantMS  int64          `json:"want_ms"` // Forecast of the work.
 	Count   int            `json:"count"`
 	Want    map[string]int `json:"want"` // How often each pool or error is the answer.
 }
@@ -62,6 +64,10 @@
 				domain.State = s.State.State
 				data.Config.Sections.Domains[s.State.Domain] = domain
 				c.Configured(data.Config)
+			case s.Work != nil:
+				if got := c.Forecast(now, *s.Work).Milliseconds(); got != s.WantMS {
+					t.Errorf("step %d: forecast of %d ms, want %d ms", i, got, s.WantMS)
+				}
 			case s.Choose != nil:
 				if diff := cmp.Diff(s.Want, choose(c, now, s)); diff != "" {
 					t.Errorf("step %d (-want +got):\n%s", i, diff)
