Watch a connection between nodes only while calls wait

Cause: each connection woke up every 250 ms; with 400 nodes a node holds 400 of them, 98 us a second each or 3.9% of a core, against 2.1% allowed for all control. Change: a link whose last call has ended sleeps until the next call. The wait before a ping and before closing is unchanged and counts from that call.

--- a/peer/link.go
+++ b/peer/link.go
@@ -32,8 +32,10 @@
 	conn     *jsonrpc2.Conn
 	err      error
 	stopped  atomic.Bool
-	received atomic.Int64 // Time of the last message in Unix nanoseconds.
-	waiting  atomic.Int64 // Number of calls that wait.
+	received atomic.Int64  // Time of the last message in Unix nanoseconds.
+	waiting  atomic.Int64  // Number of calls that wait.
+	dormant  atomic.Bool   // No call waits and the silence is not watched.
+	called   chan struct{} // Ends the dormancy.
 	next     atomic.Uint64
 	mutex    sync.Mutex
 	chunks   map[uint64]func(json.RawMessage)
@@ -50,13 +52,20 @@
 	if l.broken() {
 		l.close()
 	}
+	check := l.mesh.Clock.After(checkInterval)
 	for {
 		select {
 		case <-l.conn.DisconnectNotify():
 			l.close()
 			return
-		case now := <-l.mesh.Clock.After(checkInterval):
-			l.check(now)
+		case <-l.called:
+			l.received.Store(l.mesh.Clock.Now().UnixNano())
+			check = l.mesh.Clock.After(checkInterval)
+		case now := <-check:
+			check = nil
+			if l.check(now) {
+				check = l.mesh.Clock.After(checkInterval)
+			}
 		}
 	}
 }
@@ -120,11 +129,12 @@
 	l.close()
 }
 
-// check closes the connection if calls wait and nothing has been received.
-func (l *link) check(now time.Time) {
+// check closes the connection if calls wait and nothing has been received. It
+// returns false once no call waits; the next call then ends the dormancy.
+func (l *link) check(now time.Time) bool {
 	if l.waiting.Load() == 0 {
-		l.received.Store(now.UnixNano())
-		return
+		l.dormant.Store(true)
+		return l.waiting.Load() > 0 && l.dormant.CompareAndSwap(true, false)
 	}
 	silence := now.Sub(time.Unix(0, l.received.Load()))
 	switch {
@@ -135,6 +145,14 @@
 	case silence > pingAfter:
 		_, _ = l.conn.DispatchCall(context.Background(), methodPing, struct{}{})
 	}
+	return true
+}
+
+// wake has the silence watched again.
+func (l *link) wake() {
+	if l.dormant.CompareAndSwap(true, false) {
+		l.called <- struct{}{}
+	}
 }
 
 func (l *link) onReceive(*jsonrpc2.Request, *jsonrpc2.Response) {
@@ -172,6 +190,7 @@
 		defer l.setChunks(number, nil)
 	}
 	l.waiting.Add(1)
+	l.wake()
 	defer l.waiting.Add(-1)
 	l.mesh.count("peer_calls_total")
 	message := envelope{From: l.mesh.Self, Call: number, Params: body}
