Report service-level burn, cost and departures from running nodes

Cause: operators need attainment, burn and cost joined over all nodes, and each departure of a failure domain as an event of its own. Change: nodes record the outcome of each run and the configurations that came into force; the report command joins them, finds departures and writes a table, JSON or a page with plots. The time to the first token is that of the answer's stream.

--- a/admin/server.go
+++ b/admin/server.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 
+	"bergamotworks/burn"
 	"bergamotworks/entry"
 	"bergamotworks/fault"
 	"bergamotworks/note"
@@ -38,8 +39,8 @@
 	Status func() Status
 	// Lagging names the live nodes on which a revision is not in force.
 	Lagging func(ctx context.Context, revision int64) []string
-	// Burn returns the node's mergeable service-level snapshot as JSON.
-	Burn func() any
+	// Burn returns the node's service-level state.
+	Burn func() (BurnState, error)
 	// Ledger looks up the record of a request for operators.
 	Ledger  func(ctx context.Context, account, key, stage string) (any, error)
 	Ready   func() error
@@ -86,6 +87,12 @@
 	Stages   int    `json:"stages"`
 }
 
+// BurnState is what a node has counted, and the changes that it has seen.
+type BurnState struct {
+	Snapshot burn.Snapshot `json:"snapshot"`
+	Changes  []burn.Change `json:"changes"`
+}
+
 // Record is the ledger's record of a non-idempotent stage call.
 type Record struct {
 	Account     string          `json:"account"`
@@ -157,7 +164,7 @@
 	case "GET /v1/status":
 		reply(ctx, s.Status())
 	case "GET /v1/burn":
-		reply(ctx, s.Burn())
+		s.serveBurn(ctx)
 	case "GET /v1/ledger":
 		s.serveLedger(ctx)
 	case "POST /v1/notes":
@@ -179,6 +186,15 @@
 	ctx.SetBodyString("ready\n")
 }
 
+func (s *Server) serveBurn(ctx *fasthttp.RequestCtx) {
+	state, err := s.Burn()
+	if err != nil {
+		refuse(ctx, err)
+		return
+	}
+	reply(ctx, state)
+}
+
 func (s *Server) serveLedger(ctx *fasthttp.RequestCtx) {
 	query := ctx.QueryArgs()
 	record, err := s.Ledger(ctx, string(query.Peek("account")), string(query.Peek("key")), string(query.Peek("stage")))
--- /dev/null
+++ b/burn/departure_test.go
@@ -0,0 +1,61 @@
+package burn
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"bergamotworks/script"
+)
+
+// departureScript gives buckets and changes, and the departures expected.
+type departureScript struct {
+	About   string `json:"about"`
+	Buckets []struct {
+		AtS   int64  `json:"at_s"`
+		Total uint64 `json:"total"`
+		Good  uint64 `json:"good"`
+	} `json:"buckets"`
+	Changes []struct {
+		AtS int64    `json:"at_s"`
+		Out []string `json:"out"`
+	} `json:"changes"`
+	Departures []departureRow `json:"departures"`
+}
+
+type departureRow struct {
+	Domain    string `json:"domain"`
+	OutS      int64  `json:"out_s"`
+	BackS     int64  `json:"back_s"` // Zero if the domain is still out.
+	Total     uint64 `json:"total"`
+	Good      uint64 `json:"good"`
+	RecoveryS int64  `json:"recovery_s"` // Negative if attainment is not back.
+}
+
+func TestDepartures(t *testing.T) {
+	script.Run(t, "testdata/departures/*.json", func(t *testing.T, data departureScript) {
+		series := Series{Key: Key{Objective: "orders"}}
+		for _, b := range data.Buckets {
+			series.Buckets = append(series.Buckets, Bucket{At: b.AtS, Counts: Counts{Total: b.Total, Good: b.Good}})
+		}
+		var changes []Change
+		for _, c := range data.Changes {
+			changes = append(changes, Change{At: time.Unix(c.AtS, 0), Out: c.Out})
+		}
+		var got []departureRow
+		for _, d := range Departures(Snapshot{Series: []Series{series}}, changes) {
+			got = append(got, departureRow{d.Domain, d.Out.Unix(), max(0, d.Back.Unix()), d.Total, d.Good, secondsOf(d.Recovery)})
+		}
+		if diff := cmp.Diff(data.Departures, got); diff != "" {
+			t.Errorf("(-want +got):\n%s", diff)
+		}
+	})
+}
+
+func secondsOf(d time.Duration) int64 {
+	if d < 0 {
+		return -1
+	}
+	return int64(d / time.Second)
+}
--- a/burn/outcome.go
+++ b/burn/outcome.go
@@ -15,6 +15,7 @@
 	Domain     string        // Failure domain that the request ran in or met its failure in.
 	Attained   bool          // The answer was whole and in time.
 	Refused    bool          // The request did not run.
+	Retried    bool          // Some stage had more than one attempt.
 	Verdict    fault.Verdict // Valid if the request was not attained.
 	Latency    time.Duration
 	FirstToken time.Duration // Zero if nothing was streamed.
--- a/burn/recorder.go
+++ b/burn/recorder.go
@@ -9,7 +9,7 @@
 )
 
 // Recorder counts the outcomes of one node. Its memory is bounded: 4096 series
-// of at most 7.3 KB each, of which 512 carry histograms of 14 KB, and 16384
+// of at most 8.7 KB each, of which 512 carry histograms of 14 KB, and 16384
 // costs of at most 200 bytes. What does not fit is counted under "(other)", so
 // that sums stay exact. The zero value is ready and safe for concurrent use.
 type Recorder struct {
@@ -79,6 +79,9 @@
 	case !o.Attained && o.Verdict == fault.MayHaveRun:
 		counts.MayHaveRun = 1
 	}
+	if o.Retried {
+		counts.Retried = 1
+	}
 	r.find(Key{Objective: g.name, Dimension: Total}).add(o, counts)
 	if o.Domain != "" {
 		r.find(Key{Objective: g.name, Dimension: Domain, Name: o.Domain}).add(o, counts)
--- a/burn/series.go
+++ b/burn/series.go
@@ -32,6 +32,7 @@
 	Good       uint64 `json:"good"`
 	Refused    uint64 `json:"refused"`
 	MayHaveRun uint64 `json:"may_have_run"`
+	Retried    uint64 `json:"retried"` // Some stage had more than one attempt.
 }
 
 func (c Counts) plus(o Counts) Counts {
@@ -39,6 +40,7 @@
 	c.Good += o.Good
 	c.Refused += o.Refused
 	c.MayHaveRun += o.MayHaveRun
+	c.Retried += o.Retried
 	return c
 }
 
@@ -73,6 +75,7 @@
 	good    uint32
 	refused uint32
 	open    uint32 // Requests that may have run.
+	retried uint32
 }
 
 func newSeries(dimension Dimension) *series {
@@ -103,6 +106,7 @@
 	b.good += uint32(counts.Good)
 	b.refused += uint32(counts.Refused)
 	b.open += uint32(counts.MayHaveRun)
+	b.retried += uint32(counts.Retried)
 	observe(s.latency, o.Latency)
 	observe(s.firstToken, o.FirstToken)
 }
@@ -128,5 +132,8 @@
 }
 
 func (b ringBucket) counts() Counts {
-	return Counts{Total: uint64(b.total), Good: uint64(b.good), Refused: uint64(b.refused), MayHaveRun: uint64(b.open)}
+	return Counts{
+		Total: uint64(b.total), Good: uint64(b.good), Refused: uint64(b.refused),
+		MayHaveRun: uint64(b.open), Retried: uint64(b.retried),
+	}
 }
--- a/burn/table.go
+++ b/burn/table.go
@@ -20,6 +20,7 @@
 	for _, o := range r.Objectives {
 		t.objective(o)
 	}
+	t.departures(r.Departures)
 	t.line("\nSTAGE\tCALLS\tTARGET S\tTOKENS\tWASTED S\tWASTED")
 	t.costs(r.Stages)
 	t.line("\nACCOUNT\tCALLS\tTARGET S\tTOKENS\tWASTED S\tWASTED")
@@ -59,6 +60,24 @@
 		milliseconds(o.LatencyP50MS), milliseconds(o.LatencyP99MS), milliseconds(o.FirstTokenP95MS))
 }
 
+func (t *table) departures(list []Departure) {
+	if len(list) == 0 {
+		return
+	}
+	t.line("\nDEPARTURE\tOBJECTIVE\tOUT\tBACK\tREQUESTS\tMISSED\tREFUSED\tRETRIED\tATTAINMENT BACK")
+	for _, d := range list {
+		back, recovered := "-", "not yet"
+		if !d.Back.IsZero() {
+			back = d.Back.UTC().Format(time.TimeOnly)
+		}
+		if d.Recovery >= 0 {
+			recovered = "after " + d.Recovery.Round(time.Second).String()
+		}
+		t.line("%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\t%s", d.Domain, d.Objective, d.Out.UTC().Format(time.TimeOnly), back,
+			d.Total, d.Total-d.Good, d.Refused, d.Retried, recovered)
+	}
+}
+
 func (t *table) costs(rows []CostRow) {
 	for _, c := range rows {
 		t.line("%s\t%d\t%.1f\t%d\t%.1f\t%s", c.Name, c.Calls, c.TargetSeconds, c.Tokens, c.WastedSeconds, percent(c.WastedShare))
--- a/cmds/root.go
+++ b/cmds/root.go
@@ -109,6 +109,7 @@
 			s.ledgerCommand(),
 			s.demoCommand(),
 			s.trialCommand(),
+			s.reportCommand(),
 			s.standinCommand(),
 			s.versionCommand(),
 		},
--- a/cmds/trial.go
+++ b/cmds/trial.go
@@ -1,14 +1,12 @@
 package cmds
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"flag"
 	"os"
 	"strings"
 
-	"github.com/gravitational/trace"
 	"github.com/peterbourgon/ff/v3/ffcli"
 	"github.com/sirupsen/logrus"
 
@@ -113,7 +111,7 @@
 // writeTrial prints the result and writes the report page if one is asked for.
 func (s *shell) writeTrial(v trialSettings, result trial.Result) error {
 	if v.page != "" {
-		if err := writePage(v.page, result); err != nil {
+		if err := writePage(v.page, result.Page()); err != nil {
 			return err
 		}
 	}
@@ -123,14 +121,6 @@
 	return result.Print(s.stdout)
 }
 
-func writePage(path string, result trial.Result) error {
-	var page bytes.Buffer
-	if err := result.Page().Write(&page); err != nil {
-		return err
-	}
-	return trace.Wrap(os.WriteFile(path, page.Bytes(), pageMode))
-}
-
 // readScript returns an embedded script or reads one from a file.
 func readScript(name string) (trial.Script, error) {
 	if script, err := trial.Embedded(name); err == nil {
--- a/flow/outcome.go
+++ b/flow/outcome.go
@@ -37,11 +37,11 @@
 		o.Verdict = fault.VerdictOf(r.err)
 		o.Refused = o.Verdict == fault.NotRun
 	}
+	if r.request.Stream && !r.firstAt.IsZero() {
+		o.FirstToken = r.firstAt.Sub(r.started)
+	}
 	for i := range o.Stages {
 		o.Stages[i].Wasted = o.Stages[i].Wasted || !o.Answered
-		if o.Stages[i].FirstTokenMS > 0 {
-			o.FirstToken = time.Duration(o.Stages[i].FirstTokenMS * float64(time.Millisecond))
-		}
 	}
 	return o
 }
--- a/flow/run.go
+++ b/flow/run.go
@@ -31,6 +31,7 @@
 	waiters  map[*waiter]struct{}
 	leftAt   time.Time // Time at which the last waiter left.
 	chunks   []Chunk   // Chunks of the last stage.
+	firstAt  time.Time // Time of the first chunk.
 	bound    bool      // A stage that is not idempotent may have been dispatched.
 	touched  bool      // Some stage has run or may have run.
 	stages   []StageReport
@@ -212,6 +213,9 @@
 func (r *run) emit(chunk Chunk) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	if len(r.chunks) == 0 {
+		r.firstAt = r.service.Clock.Now()
+	}
 	r.chunks = append(r.chunks, chunk)
 	for w := range r.waiters {
 		r.passLocked(w)
--- a/node/node.go
+++ b/node/node.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"bergamotworks/admin"
+	"bergamotworks/burn"
 	"bergamotworks/certs"
 	"bergamotworks/conf"
 	"bergamotworks/engine"
@@ -56,6 +57,8 @@
 	owner    *owner.Service
 	flow     *flow.Service
 	orders   *order.Service
+	burns    burn.Recorder
+	changes  changeLog
 	entry    *entry.Server
 	admin    *admin.Server
 	stopping atomic.Bool
@@ -379,6 +382,8 @@
 
 func (n *Node) configChanged(config note.Config) {
 	n.flow.Configured(config)
+	n.burns.Configure(config.Sections.Objectives)
+	n.changes.add(n.Clock.Now(), config)
 	n.owner.Changed()
 	n.members.SetAttributes(n.attributes())
 }
--- a/node/status.go
+++ b/node/status.go
@@ -5,7 +5,6 @@
 	"slices"
 
 	"bergamotworks/admin"
-	"bergamotworks/flow"
 	"bergamotworks/note"
 )
 
@@ -56,15 +55,3 @@
 	slices.SortFunc(list, func(a, b admin.PipelineState) int { return cmp.Compare(a.Pipeline, b.Pipeline) })
 	return list
 }
-
-// record takes the outcome of a run.
-func (n *Node) record(outcome flow.Outcome) {
-	if outcome.Attained {
-		n.metrics.GetOrCreateCounter("node_attained_total").Inc()
-		return
-	}
-	n.metrics.GetOrCreateCounter("node_missed_total").Inc()
-}
-
-// burn returns the node's service-level snapshot.
-func (n *Node) burn() any { return struct{}{} }
