--- a/conf/spread_test.go
+++ b/conf/spread_test.go
@@ -19,33 +19,40 @@
 type spreadCase struct {
 	Nodes   int           `json:"nodes"`
 	Runs    int           `json:"runs"`
-	Offer   string        `json:"offer"`  // VM of the offer; "operator" goes straight to the store.
-	Faults  []store.Fault `json:"faults"` // Between all nodes and the store.
-	Kill    int           `json:"kill"`   // Nodes that die silently at the offer.
+	Offer   string        `json:"offer"`   // VM of the offer; "operator" goes straight to the store.
+	Faults  []store.Fault `json:"faults"`  // Between all nodes and the store.
+	Kill    int           `json:"kill"`    // Nodes that die silently at the offer.
+	IdleMS  int64         `json:"idle_ms"` // Time in which calls without news are counted.
 	LimitMS int64         `json:"limit_ms"`
 }
 
+// cost is what one note took.
+type cost struct {
+	milliseconds int64
+	peerBytes    int64 // For each node.
+	idleCalls    int64 // To the store, of all nodes.
+}
+
 func TestSpread(t *testing.T) {
 	script.Run(t, "testdata/spread/*.json", func(t *testing.T, data spreadCase) {
-		var times, bytes []int64
+		var costs []cost
 		for seed := range data.Runs {
 			synctest.Test(t, func(t *testing.T) {
-				took, sent := data.measure(t, uint64(seed*data.Nodes))
-				times = append(times, took.Milliseconds())
-				bytes = append(bytes, sent)
+				costs = append(costs, data.measure(t, uint64(seed*data.Nodes)))
 			})
 		}
-		t.Logf("milliseconds until in force: %s", spreadOf(times))
-		t.Logf("bytes between peers for each node: %s", spreadOf(bytes))
-		for seed, took := range times {
-			if took > data.LimitMS {
-				t.Errorf("seed %d took %d ms", seed, took)
+		t.Logf("milliseconds until in force: %s", spreadOf(costs, func(c cost) int64 { return c.milliseconds }))
+		t.Logf("bytes between peers for each node: %s", spreadOf(costs, func(c cost) int64 { return c.peerBytes }))
+		t.Logf("calls to the store without news: %s", spreadOf(costs, func(c cost) int64 { return c.idleCalls }))
+		for seed, c := range costs {
+			if c.milliseconds > data.LimitMS {
+				t.Errorf("seed %d took %d ms", seed, c.milliseconds)
 			}
 		}
 	})
 }
 
-func (d spreadCase) measure(t *testing.T, seed uint64) (time.Duration, int64) {
+func (d spreadCase) measure(t *testing.T, seed uint64) cost {
 	c := newCluster(t)
 	c.seed = seed
 	defer c.close()
@@ -75,7 +82,11 @@
 	}
 	start := time.Now()
 	a.await(2)
-	return time.Since(start), c.bytes.Load() / int64(d.Nodes)
+	result := cost{milliseconds: time.Since(start).Milliseconds(), peerBytes: c.bytes.Load() / int64(d.Nodes)}
+	calls := c.calls()
+	time.Sleep(time.Duration(d.IdleMS) * time.Millisecond)
+	result.idleCalls = c.calls() - calls
+	return result
 }
 
 // await waits until a revision is in force on all nodes.
@@ -98,7 +109,20 @@
 	}
 }
 
-func spreadOf(values []int64) string {
-	sorted := slices.Sorted(slices.Values(values))
-	return fmt.Sprintf("median %d, most %d of %d runs", sorted[len(sorted)/2], sorted[len(sorted)-1], len(sorted))
+// calls returns the number of calls to the store so far.
+func (c *cluster) calls() int64 {
+	total := int64(0)
+	for _, count := range c.memory.Counts() {
+		total += count
+	}
+	return total
+}
+
+func spreadOf(costs []cost, value func(cost) int64) string {
+	var values []int64
+	for _, c := range costs {
+		values = append(values, value(c))
+	}
+	slices.Sort(values)
+	return fmt.Sprintf("median %d, most %d of %d runs", values[len(values)/2], values[len(values)-1], len(values))
 }
