Find a cold turn by the engine's cache events

Cause: a target that turns cold without a sign was found only by a first token of eight times the usual time; one to four calls began beyond its cold limit half a second after the turn. Load reports were passed on without the state of the cache. Change: a cache whose event numbers start again from an earlier one counts as emptied, which makes the target cold. Conclusion: kept; engines without cache events are still found by latency alone.

--- a/owner/report.go
+++ b/owner/report.go
@@ -38,7 +38,7 @@
 			s.Metrics.GetOrCreateCounter("owner_poll_errors_total").Inc()
 			continue
 		}
-		o.step(s.Clock.Now(), pool.Reported{Target: n, Load: loadReport(report)})
+		o.step(s.Clock.Now(), pool.Reported{Target: n, Load: loadReport(report, o.feeds[n])})
 		s.pollCache(ctx, o, n, address, report.CacheSequence)
 	}
 	return len(names)
@@ -87,10 +87,23 @@
 	return hashes
 }
 
-func loadReport(report engine.LoadReport) pool.LoadReport {
-	return pool.LoadReport{
+// loadReport translates a report. A cache whose events start again from an
+// earlier number has been emptied.
+func loadReport(report engine.LoadReport, read feed) pool.LoadReport {
+	load := pool.LoadReport{
 		Incarnation: uint64(report.Incarnation),
 		Running:     report.Running,
 		Waiting:     report.Waiting,
+		Cached:      unknownCache,
 	}
+	switch {
+	case report.CacheSequence < read.sequence:
+		load.Cached = 0
+	case report.CacheSequence > 0:
+		load.Cached = 1
+	}
+	return load
 }
+
+// unknownCache says that a report tells nothing about the cache.
+const unknownCache = -1
