--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -23,7 +23,7 @@
 // fleet is a set of nodes in one process before instant targets.
 type fleet struct {
 	nodes   []*Node
-	store   *store.Memory
+	store   ports.Store
 	targets []*instantTarget
 	running sync.WaitGroup
 }
@@ -60,7 +60,12 @@
 // and one that is not idempotent into force.
 func newFleet(t testing.TB, size int) *fleet {
 	t.Helper()
-	f := &fleet{store: &store.Memory{}}
+	return newFleetOver(t, size, &store.Memory{})
+}
+
+func newFleetOver(t testing.TB, size int, platform ports.Store) *fleet {
+	t.Helper()
+	f := &fleet{store: platform}
 	for range 4 {
 		f.targets = append(f.targets, newInstantTarget(t))
 	}
