Replace a watch that has gone silent

Cause: a silent watch was kept for good; every later change waited for the next read, about 1 s. A change that was notified during a read was also put off to the next period. Change: a read that finds a change the watch has not reported closes the watch and opens another; notice during a read leads to another read. Conclusion: one silent watch costs one late change.

--- a/conf/state.go
+++ b/conf/state.go
@@ -1,13 +1,10 @@
 package conf
 
 import (
-	"cmp"
 	"math/bits"
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"bergamotworks/ports"
 )
 
@@ -36,6 +33,10 @@
 	fetching map[string]bool
 	newest   map[string]int64 // Revisions above inForce that peers have named.
 
+	seen     int64 // Modification revision of the head at the last read.
+	notified bool  // The watch has reported a change since the last read began.
+	expected bool  // It had reported one when the last read began.
+
 	nextRead  time.Time
 	nextWatch time.Time
 	nextBoot  time.Time
@@ -59,6 +60,7 @@
 	case installed:
 		actions = s.install(e.revision)
 	case headChanged:
+		s.notified = true
 		s.nextRead = now
 	case watchEnded:
 		s.watching = false
@@ -92,14 +94,30 @@
 	}
 }
 
+// read takes the outcome of a read.
 func (s *state) read(now time.Time, e storeRead) []action {
 	s.reading = false
 	s.readOnce = true
-	s.nextRead = now.Add(s.jitter(s.pollPeriod()))
-	if e.err == nil && e.revision < s.inForce && s.duty {
-		return []action{restore{modRevision: e.modRevision}}
+	if e.err != nil {
+		s.nextRead = now.Add(s.jitter(s.pollPeriod()))
+		return nil
+	}
+	var actions []action
+	if s.silent(e) {
+		s.watching = false
+		s.nextWatch = now
+		actions = append(actions, closeWatch{})
+	}
+	s.seen = e.modRevision
+	if e.revision < s.inForce && s.duty {
+		actions = append(actions, restore{modRevision: e.modRevision})
 	}
-	return nil
+	return actions
+}
+
+// silent reports whether a read has found a change that the watch kept quiet.
+func (s *state) silent(e storeRead) bool {
+	return s.watching && !s.expected && !s.notified && s.seen != 0 && e.modRevision != s.seen
 }
 
 // fetchEnded drops what a peer had named if it did not deliver. Once no peer is
@@ -143,6 +161,8 @@
 	var actions []action
 	if !s.reading && !now.Before(s.nextRead) {
 		s.reading = true
+		s.nextRead = now.Add(s.jitter(s.pollPeriod()))
+		s.expected, s.notified = s.notified, false
 		actions = append(actions, readStore{})
 	}
 	if s.duty && !s.watching && !now.Before(s.nextWatch) {
@@ -214,17 +234,3 @@
 func (s *state) jitter(period time.Duration) time.Duration {
 	return period*3/4 + time.Duration(s.random.Uint64()%uint64(period/2))
 }
-
-// onDuty reports whether a VM is among the first watchers by rendezvous rank.
-func onDuty(self string, others []string) bool {
-	ahead := 0
-	own := rank(self)
-	for _, vm := range others {
-		if c := cmp.Or(cmp.Compare(rank(vm), own), cmp.Compare(vm, self)); c > 0 {
-			ahead++
-		}
-	}
-	return ahead < watcherCount
-}
-
-func rank(vm string) uint64 { return xxhash.Sum64String(headKey + "/" + vm) }
