--- a/admin/server.go
+++ b/admin/server.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 
+	"bergamotworks/burn"
 	"bergamotworks/entry"
 	"bergamotworks/fault"
 	"bergamotworks/note"
@@ -36,8 +37,10 @@
 	Notes    Notes
 	// Status describes this node and what it knows of the others.
 	Status func() Status
-	// Burn returns the node's mergeable service-level snapshot as JSON.
-	Burn func() any
+	// Lagging names the live nodes on which a revision is not in force.
+	Lagging func(ctx context.Context, revision int64) []string
+	// Burn returns the node's service-level state.
+	Burn func() (BurnState, error)
 	// Ledger looks up the record of a request for operators.
 	Ledger  func(ctx context.Context, account, key, stage string) (any, error)
 	Ready   func() error
@@ -84,6 +87,12 @@
 	Stages   int    `json:"stages"`
 }
 
+// BurnState is what a node has counted, and the changes that it has seen.
+type BurnState struct {
+	Snapshot burn.Snapshot `json:"snapshot"`
+	Changes  []burn.Change `json:"changes"`
+}
+
 // Record is the ledger's record of a non-idempotent stage call.
 type Record struct {
 	Account     string          `json:"account"`
@@ -155,7 +164,7 @@
 	case "GET /v1/status":
 		reply(ctx, s.Status())
 	case "GET /v1/burn":
-		reply(ctx, s.Burn())
+		s.serveBurn(ctx)
 	case "GET /v1/ledger":
 		s.serveLedger(ctx)
 	case "POST /v1/notes":
@@ -177,6 +186,15 @@
 	ctx.SetBodyString("ready\n")
 }
 
+func (s *Server) serveBurn(ctx *fasthttp.RequestCtx) {
+	state, err := s.Burn()
+	if err != nil {
+		refuse(ctx, err)
+		return
+	}
+	reply(ctx, state)
+}
+
 func (s *Server) serveLedger(ctx *fasthttp.RequestCtx) {
 	query := ctx.QueryArgs()
 	record, err := s.Ledger(ctx, string(query.Peek("account")), string(query.Peek("key")), string(query.Peek("stage")))
@@ -225,25 +243,16 @@
 	}
 	milliseconds, _ := strconv.ParseInt(string(query.Peek("timeout_ms")), 10, 64)
 	limit := min(time.Duration(milliseconds)*time.Millisecond, maxWait)
-	deadline := time.Now().Add(limit)
-	lagging := s.lagging(revision)
-	for len(lagging) > 0 && time.Now().Before(deadline) {
+	wait, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	lagging := s.Lagging(wait, revision)
+	for len(lagging) > 0 && wait.Err() == nil {
 		time.Sleep(waitInterval)
-		lagging = s.lagging(revision)
+		lagging = s.Lagging(wait, revision)
 	}
 	reply(ctx, Accepted{Revision: revision, InForce: len(lagging) == 0, Lagging: lagging})
 }
 
-func (s *Server) lagging(revision int64) []string {
-	var names []string
-	for _, m := range s.Status().Members {
-		if m.Revision < revision && m.State == "alive" {
-			names = append(names, m.VM)
-		}
-	}
-	return names
-}
-
 func reply(ctx *fasthttp.RequestCtx, value any) {
 	body, err := json.MarshalIndent(value, "", "  ")
 	if err != nil {
--- a/peer/link.go
+++ b/peer/link.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/jsonrpc2"
 
 	"bergamotworks/fault"
@@ -31,8 +32,10 @@
 	conn     *jsonrpc2.Conn
 	err      error
 	stopped  atomic.Bool
-	received atomic.Int64 // Time of the last message in Unix nanoseconds.
-	waiting  atomic.Int64 // Number of calls that wait.
+	received atomic.Int64  // Time of the last message in Unix nanoseconds.
+	waiting  atomic.Int64  // Number of calls that wait.
+	dormant  atomic.Bool   // No call waits and the silence is not watched.
+	called   chan struct{} // Ends the dormancy.
 	next     atomic.Uint64
 	mutex    sync.Mutex
 	chunks   map[uint64]func(json.RawMessage)
@@ -49,13 +52,20 @@
 	if l.broken() {
 		l.close()
 	}
+	check := l.mesh.Clock.After(checkInterval)
 	for {
 		select {
 		case <-l.conn.DisconnectNotify():
 			l.close()
 			return
-		case now := <-l.mesh.Clock.After(checkInterval):
-			l.check(now)
+		case <-l.called:
+			l.received.Store(l.mesh.Clock.Now().UnixNano())
+			check = l.mesh.Clock.After(checkInterval)
+		case now := <-check:
+			check = nil
+			if l.check(now) {
+				check = l.mesh.Clock.After(checkInterval)
+			}
 		}
 	}
 }
@@ -110,11 +120,21 @@
 	}
 }
 
-// check closes the connection if calls wait and nothing has been received.
-func (l *link) check(now time.Time) {
+// lose closes a connection that failed and says why, once.
+func (l *link) lose(step string, err error) {
+	if !l.broken() {
+		l.mesh.count("peer_lost_connections_total")
+		l.mesh.Log.WithFields(logrus.Fields{"peer": l.vm, "step": step, "error": err.Error()}).Info("connection to peer lost")
+	}
+	l.close()
+}
+
+// check closes the connection if calls wait and nothing has been received. It
+// returns false once no call waits; the next call then ends the dormancy.
+func (l *link) check(now time.Time) bool {
 	if l.waiting.Load() == 0 {
-		l.received.Store(now.UnixNano())
-		return
+		l.dormant.Store(true)
+		return l.waiting.Load() > 0 && l.dormant.CompareAndSwap(true, false)
 	}
 	silence := now.Sub(time.Unix(0, l.received.Load()))
 	switch {
@@ -125,6 +145,14 @@
 	case silence > pingAfter:
 		_, _ = l.conn.DispatchCall(context.Background(), methodPing, struct{}{})
 	}
+	return true
+}
+
+// wake has the silence watched again.
+func (l *link) wake() {
+	if l.dormant.CompareAndSwap(true, false) {
+		l.called <- struct{}{}
+	}
 }
 
 func (l *link) onReceive(*jsonrpc2.Request, *jsonrpc2.Response) {
@@ -133,18 +161,21 @@
 
 // Handle receives the chunks of streamed answers.
 func (l *link) Handle(_ context.Context, _ *jsonrpc2.Conn, request *jsonrpc2.Request) {
-	if request.Method != methodChunk || request.Params == nil {
+	if request.Method != methodChunks || request.Params == nil {
 		return
 	}
-	var message chunk
+	var message chunks
 	if json.Unmarshal(*request.Params, &message) != nil {
 		return
 	}
 	l.mutex.Lock()
 	onChunk := l.chunks[message.Call]
 	l.mutex.Unlock()
-	if onChunk != nil {
-		onChunk(message.Data)
+	if onChunk == nil {
+		return
+	}
+	for _, d := range message.Data {
+		onChunk(d)
 	}
 }
 
@@ -159,12 +190,13 @@
 		defer l.setChunks(number, nil)
 	}
 	l.waiting.Add(1)
+	l.wake()
 	defer l.waiting.Add(-1)
 	l.mesh.count("peer_calls_total")
 	message := envelope{From: l.mesh.Self, Call: number, Params: body}
 	waiter, err := l.conn.DispatchCall(ctx, method, message)
 	if err != nil {
-		l.close()
+		l.lose("send", err)
 		return l.sendError(err)
 	}
 	err = waiter.Wait(ctx, result)
@@ -201,7 +233,7 @@
 	case errors.As(err, &wire):
 		return decodeError(wire)
 	default:
-		l.close()
+		l.lose("receive", err)
 		return fault.New(fault.ConnectionLost, fault.MayHaveRun, "connection to VM %s lost: %s", l.vm, err)
 	}
 }
--- a/pool/dispatch.go
+++ b/pool/dispatch.go
@@ -17,7 +17,12 @@
 			p.refuse(c, expired())
 			continue
 		}
-		p.send(now, c, p.pick(now, c))
+		m := p.pick(now, c)
+		if m == nil { // The targets with room are too slow for the call.
+			p.apart = append(p.apart, c)
+			continue
+		}
+		p.send(now, c, m)
 	}
 }
 
@@ -115,5 +120,7 @@
 	c.member = m
 	c.epoch = m.target.Epoch()
 	p.prefixes.use(c.Prefix, m.slot)
-	p.actions = append(p.actions, Dispatch{Attempt: c.Attempt, Target: m.name, Address: m.address})
+	p.actions = append(p.actions, Dispatch{
+		Attempt: c.Attempt, Target: m.name, Address: m.address, FirstLimit: m.target.FirstLimit(),
+	})
 }
