Leave a node out of its own announcements

Cause: the membership lists the node itself among the live ones, and conf took all of them for others: a node told and asked itself, and some peer less. Change: conf leaves itself out. The tests' membership lists the node itself now and fails a node that calls itself. Conclusion: conf works with the membership as it is.

--- a/conf/cluster_test.go
+++ b/conf/cluster_test.go
@@ -148,16 +148,9 @@
 	return vms
 }
 
-// Live returns all other VMs, cut off or not, as a lagging membership would.
-func (n *node) Live() []string {
-	var others []string
-	for _, vm := range n.cluster.names() {
-		if vm != n.vm {
-			others = append(others, vm)
-		}
-	}
-	return others
-}
+// Live returns all VMs, this one and cut off ones too, as a lagging membership
+// would.
+func (n *node) Live() []string { return n.cluster.names() }
 
 func (c *cluster) reach(from, to string) *node {
 	c.mutex.Lock()
@@ -171,6 +164,9 @@
 // Call runs a method of a peer. A cut connection is silent.
 func (n *node) Call(ctx context.Context, vm, method string, params, result any) error {
 	time.Sleep(peerDelay)
+	if vm == n.vm {
+		n.cluster.t.Errorf("%s calls itself", vm)
+	}
 	peer := n.cluster.reach(n.vm, vm)
 	if peer == nil {
 		<-ctx.Done()
--- a/conf/service.go
+++ b/conf/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -26,7 +27,8 @@
 	Call(ctx context.Context, vm string, method string, params, result any) error
 }
 
-// Members tells which other VMs are alive. Package member implements it.
+// Members tells which VMs are alive; this one may be among them. Package member
+// implements it.
 type Members interface {
 	Live() []string
 }
@@ -189,11 +191,13 @@
 	}
 }
 
+// live returns the other VMs that are alive.
 func (s *Service) live() []string {
 	if s.Members == nil {
 		return nil
 	}
-	return s.Members.Live()
+	vms := slices.Clone(s.Members.Live())
+	return slices.DeleteFunc(vms, func(vm string) bool { return vm == s.Self })
 }
 
 // post hands an event to Run without waiting. News of peers that Run does not
