Bound an offer whose caller sets no deadline

Cause: the operators' HTTP side offers without a deadline; with the outcome open and the store down the offer would have gone on until the server stops. Measured: the scene of lost answers, now without a deadline of its own, did not end within 15 s before; it passes after, with the same error.

--- a/conf/accept.go
+++ b/conf/accept.go
@@ -11,6 +11,8 @@
 )
 
 const (
+	// offerTimeout bounds an offer whose caller sets no deadline.
+	offerTimeout    = 8 * time.Second
 	settlePeriod    = 50 * time.Millisecond
 	maxSettlePeriod = time.Second
 	maxOfferTries   = 5
@@ -24,9 +26,11 @@
 //
 // A note on another base revision than the present one fails with
 // fault.Conflict and the difference. The verdict is MayHaveRun only if the
-// context ends while the outcome of the swap is open; the same note may be
-// offered again to settle it.
+// context ends, or 8 s pass, while the outcome of the swap is open; the same
+// note may be offered again to settle it.
 func (s *Service) Offer(ctx context.Context, n note.Note) (note.Config, error) {
+	ctx, cancel := context.WithTimeout(ctx, offerTimeout)
+	defer cancel()
 	var behind error
 	for range maxOfferTries {
 		p, i, err := s.present(ctx)
@@ -78,6 +82,8 @@
 
 // CheckNote reports whether a note could be accepted now.
 func (s *Service) CheckNote(ctx context.Context, n note.Note) error {
+	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
+	defer cancel()
 	_, i, err := s.present(ctx)
 	if err != nil {
 		return neverSent(err)
@@ -88,6 +94,8 @@
 
 // History returns the accepted notes, the oldest first.
 func (s *Service) History(ctx context.Context) ([]Entry, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
+	defer cancel()
 	p, err := readHead(ctx, s.Store)
 	if err != nil {
 		return nil, err
--- a/conf/cluster_test.go
+++ b/conf/cluster_test.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -141,11 +143,7 @@
 func (c *cluster) names() []string {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	var vms []string
-	for vm := range c.nodes {
-		vms = append(vms, vm)
-	}
-	return vms
+	return slices.Sorted(maps.Keys(c.nodes))
 }
 
 // Live returns all VMs, this one and cut off ones too, as a lagging membership
--- a/conf/script_test.go
+++ b/conf/script_test.go
@@ -173,9 +173,7 @@
 			return err.Error()
 		}
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
-	defer cancel()
-	config, err := a.service(s.VMs[0]).Offer(ctx, n)
+	config, err := a.service(s.VMs[0]).Offer(context.Background(), n)
 	return outcome(fmt.Sprintf("revision %d", config.Revision), err)
 }
 
