Show engine orders and the history of notes to operators

Change: bergamotworks order list, order abandon and note history, with their resources on the operators' side.

--- a/admin/server.go
+++ b/admin/server.go
@@ -35,6 +35,8 @@
 type Server struct {
 	Listener net.Listener
 	Notes    Notes
+	History  History
+	Orders   Orders
 	// Status describes this node and what it knows of the others.
 	Status func() Status
 	// Lagging names the live nodes on which a revision is not in force.
@@ -171,6 +173,12 @@
 		s.serveNote(ctx)
 	case "POST /v1/notes/check":
 		s.serveCheck(ctx)
+	case "GET /v1/notes/history":
+		s.serveHistory(ctx)
+	case "GET /v1/orders":
+		s.serveOrders(ctx)
+	case "POST /v1/orders/abandon":
+		s.serveAbandon(ctx)
 	case "GET /v1/wait":
 		s.serveWait(ctx)
 	default:
--- a/cmds/note.go
+++ b/cmds/note.go
@@ -18,9 +18,9 @@
 func (s *shell) noteCommand() *ffcli.Command {
 	return s.command(&ffcli.Command{
 		Name:        "note",
-		ShortUsage:  "bergamotworks note <check|offer|show|diff> [flags] [file]",
+		ShortUsage:  "bergamotworks note <check|offer|show|history> [flags] [file]",
 		ShortHelp:   "Check, offer and show release notes.",
-		Subcommands: []*ffcli.Command{s.noteCheck(), s.noteOffer(), s.noteShow()},
+		Subcommands: []*ffcli.Command{s.noteCheck(), s.noteOffer(), s.noteShow(), s.noteHistory()},
 		Exec:        needSubcommand,
 	})
 }
--- a/cmds/root.go
+++ b/cmds/root.go
@@ -107,6 +107,7 @@
 			s.domainCommand(),
 			s.statusCommand(),
 			s.ledgerCommand(),
+			s.orderCommand(),
 			s.demoCommand(),
 			s.trialCommand(),
 			s.reportCommand(),
