Measure goodput by work and pace the stand-ins by due times

Change: a result has the bottleneck's goodput share, from answers that came in the tallied time. The capacity takes four fifths of a prompt as cached. A run's work is counted from the time at which the part before was due. Scaling lowers cold limits with the warm ones and keeps them apart.

--- a/demo/safety_test.go
+++ b/demo/safety_test.go
@@ -14,10 +14,10 @@
 
 // safety names the properties that hold whatever the machine's speed.
 var safety = map[string]bool{
-	"double runs of non-idempotent stages":                true,
-	"attempts sent twice":                                 true,
-	"false not run":                                       true,
-	"wrong, incomplete or crossed answers":                true,
+	"double runs of non-idempotent stages":               true,
+	"attempts sent twice":                                true,
+	"false not run":                                      true,
+	"wrong, incomplete or crossed answers":               true,
 	"operator races without exactly one winner in force": true,
 }
 
--- a/emul/handler.go
+++ b/emul/handler.go
@@ -52,7 +52,8 @@
 	key     workKey
 	attempt string
 	started time.Time
-	prefill float64 // Share of the prompt that must be computed.
+	due     time.Time // Time at which the work so far is done.
+	cached  float64   // Share of the prompt that was cached.
 }
 
 // admit starts a call, or answers that it does not run. Text is what the
@@ -101,7 +102,7 @@
 	t.counts.Calls++
 	t.counts.MostRunning = max(t.counts.MostRunning, h.life.batch.running)
 	key := workKey{request: RequestOf(text), service: t.ServiceName}
-	return run{handler: h, key: key, attempt: attempt, started: now, prefill: 1 - hit}
+	return run{handler: h, key: key, attempt: attempt, started: now, due: now, cached: hit}
 }
 
 // countStart checks a start against the cold limit and a departure.
@@ -150,17 +151,23 @@
 	ctx.SetBodyString(`{"id":` + strconv.Quote(r.attempt) + `,"output":` + string(output) + `}`)
 }
 
-// work takes the time that the work needs under the present load. It reports
-// false if the life ended.
-func (r run) work(usual time.Duration) bool {
+// work takes the time that the work needs under the present load. The time is
+// counted from the end of the work before, so that late wake-ups of the machine
+// do not add up. It reports false if the life ended.
+func (r *run) work(usual time.Duration) bool {
 	t := r.handler.target
 	t.mutex.Lock()
 	factor := t.slow * r.handler.life.batch.factor()
 	t.mutex.Unlock()
+	r.due = r.due.Add(time.Duration(float64(usual) * factor))
+	wait := r.due.Sub(t.Clock.Now())
+	if wait <= 0 {
+		return r.handler.life.context.Err() == nil
+	}
 	select {
 	case <-r.handler.life.context.Done():
 		return false
-	case <-t.Clock.After(time.Duration(float64(usual) * factor)):
+	case <-t.Clock.After(wait):
 		return true
 	}
 }
--- a/emul/stream.go
+++ b/emul/stream.go
@@ -16,6 +16,24 @@
 	cachedPrefill = 0.2 // Part of the prompt's time that a whole cache hit leaves.
 )
 
+// CallTime returns the time of one generation at the usual speed: for a prompt
+// of which a share was cached, and for the tokens. An answer of typicalTokens
+// to a prompt that was not cached takes the typical time.
+func CallTime(typical time.Duration, tokens, typicalTokens int, cached float64) time.Duration {
+	return prefillTime(typical, cached) + time.Duration(tokens)*tokenTime(typical, typicalTokens)
+}
+
+func prefillTime(typical time.Duration, cached float64) time.Duration {
+	return time.Duration(float64(typical) * prefillShare * (1 - cached*(1-cachedPrefill)))
+}
+
+func tokenTime(typical time.Duration, typicalTokens int) time.Duration {
+	if typicalTokens == 0 {
+		typicalTokens = defaultTokens
+	}
+	return time.Duration(float64(typical) * (1 - prefillShare) / float64(typicalTokens))
+}
+
 // completion streams generated tokens.
 func (h handler) completion(ctx *fasthttp.RequestCtx) {
 	var body engine.CompletionRequest
@@ -48,16 +66,10 @@
 // generate reports whether the whole answer was written.
 func (s *streamed) generate(w *bufio.Writer) bool {
 	t := s.run.handler.target
-	typical := float64(t.Service.Typical())
-	prefill := typical * prefillShare * (cachedPrefill + (1-cachedPrefill)*s.run.prefill)
-	if !s.run.work(time.Duration(prefill)) {
+	if !s.run.work(prefillTime(t.Service.Typical(), s.run.cached)) {
 		return false
 	}
-	tokens := t.TypicalTokens
-	if tokens == 0 {
-		tokens = defaultTokens
-	}
-	interval := time.Duration(typical * (1 - prefillShare) / float64(tokens))
+	interval := tokenTime(t.Service.Typical(), t.TypicalTokens)
 	g := newGenerator(s.request.Prompt)
 	for s.tokens < s.request.MaxTokens {
 		if !s.run.work(interval) || !s.chunk(w, g.next()) {
--- a/trial/capacity.go
+++ b/trial/capacity.go
@@ -3,13 +3,15 @@
 import (
 	"maps"
 	"math"
+	"slices"
 
+	"bergamotworks/emul"
 	"bergamotworks/note"
 )
 
-// prefillShare is the part of a generation's time that the prompt takes in the
-// stand-ins; the rest grows with the number of tokens.
-const prefillShare = 0.3
+// cachedShare is the part of a prompt that warm targets usually have cached,
+// since requests share their context.
+const cachedShare = 0.8
 
 // mix returns the shares of the pipelines, which add up to one.
 func (s Script) mix(config note.Config) map[string]float64 {
@@ -31,9 +33,16 @@
 	return shares
 }
 
-// capacity returns the number of requests a second at which the first service
-// is busy with as many calls as its warm targets take.
-func capacity(config note.Config, mix map[string]float64) float64 {
+// bottleneck is the service that is full first as the load rises.
+type bottleneck struct {
+	service string
+	slots   float64 // Calls that its warm targets take together.
+	// rate is the number of requests a second at which it is full.
+	rate float64
+}
+
+// findBottleneck returns the service that is full first under a mix.
+func findBottleneck(config note.Config, mix map[string]float64) bottleneck {
 	seconds := make(map[string]float64) // Work of an average request by service.
 	for name, share := range mix {
 		for _, v := range config.Sections.Pipelines[name].Stages {
@@ -44,22 +53,34 @@
 	for _, t := range config.Sections.Targets {
 		slots[t.Service] += float64(config.Sections.Services[t.Service].WarmLimit)
 	}
-	least := math.Inf(1)
-	for service, work := range seconds {
-		least = min(least, slots[service]/work)
+	first := bottleneck{rate: math.Inf(1)}
+	for _, service := range slices.Sorted(maps.Keys(seconds)) {
+		if rate := slots[service] / seconds[service]; rate < first.rate {
+			first = bottleneck{service: service, slots: slots[service], rate: rate}
+		}
+	}
+	return first
+}
+
+// pipelineSeconds returns the time of one request at a service at the usual speed.
+func pipelineSeconds(config note.Config, pipeline, service string) float64 {
+	seconds := 0.0
+	for _, v := range config.Sections.Pipelines[pipeline].Stages {
+		if v.Service == service {
+			seconds += stageSeconds(config, v)
+		}
 	}
-	return least
+	return seconds
 }
 
 // stageSeconds returns the time of one call at the usual speed.
 func stageSeconds(config note.Config, stage note.Stage) float64 {
 	service := config.Sections.Services[stage.Service]
-	typical := service.Typical().Seconds()
 	if service.Kind != note.Generate {
-		return typical
+		return service.Typical().Seconds()
 	}
 	longest := longestAnswer(config, stage.Service)
-	return typical * (prefillShare + (1-prefillShare)*float64(stage.MaxTokens)/float64(max(longest, 1)))
+	return emul.CallTime(service.Typical(), stage.MaxTokens, longest, cachedShare).Seconds()
 }
 
 func longestAnswer(config note.Config, service string) int {
@@ -74,18 +95,20 @@
 	return longest
 }
 
-// scale lowers the warm limits so that the capacity does not exceed the given
-// number of requests a second. Zero leaves them.
+// leastWarmLimit keeps a warm target apart from one in cold start.
+const leastWarmLimit = 2
+
+// scale lowers the limits of the targets so that the capacity is about the
+// given number of requests a second, and not less. Zero leaves them.
 func scale(config note.Config, mix map[string]float64, limit float64) note.Config {
-	present := capacity(config, mix)
+	present := findBottleneck(config, mix).rate
 	if limit == 0 || present <= limit {
 		return config
 	}
 	services := maps.Clone(config.Sections.Services)
 	for name, v := range services {
-		lowered := int(math.Ceil(float64(v.WarmLimit) * limit / present))
-		v.WarmLimit = max(lowered, 1)
-		v.ColdLimit = min(v.ColdLimit, v.WarmLimit)
+		v.WarmLimit = max(int(math.Ceil(float64(v.WarmLimit)*limit/present)), leastWarmLimit)
+		v.ColdLimit = max(int(float64(v.ColdLimit)*limit/present), 1)
 		services[name] = v
 	}
 	sections := config.Sections
--- /dev/null
+++ b/trial/capacity_test.go
@@ -0,0 +1,39 @@
+package trial
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+
+	"bergamotworks/note"
+	"bergamotworks/script"
+)
+
+// capacityCase is a shipped deployment under a mix.
+type capacityCase struct {
+	Deployment string             `json:"deployment"`
+	Mix        map[string]float64 `json:"mix"`
+	Limit      float64            `json:"limit"` // Given to scale.
+	Service    string             `json:"service"`
+	Slots      float64            `json:"slots"`
+	Rate       float64            `json:"rate"`
+}
+
+func TestBottleneck(t *testing.T) {
+	script.Run(t, "testdata/capacity/*.json", func(t *testing.T, v capacityCase) {
+		shipped, err := note.Shipped(v.Deployment)
+		if err != nil {
+			t.Fatal(err)
+		}
+		config := note.Config{Sections: shipped.Added}
+		mix := Script{Mix: v.Mix}.mix(config)
+		b := findBottleneck(scale(config, mix, v.Limit), mix)
+		got := capacityCase{
+			Deployment: v.Deployment, Mix: v.Mix, Limit: v.Limit, Service: b.service, Slots: b.slots, Rate: b.rate,
+		}
+		if diff := cmp.Diff(v, got, cmpopts.EquateApprox(0, 0.001)); diff != "" {
+			t.Errorf("bottleneck (-want +got):\n%s", diff)
+		}
+	})
+}
--- a/trial/load.go
+++ b/trial/load.go
@@ -25,14 +25,14 @@
 // load sends requests at the script's rate, whether or not earlier ones have
 // been answered.
 type load struct {
-	script   Script
-	config   note.Config
-	capacity float64
-	system   System
-	clock    ports.Clock
-	sender   *sender
-	tally    *tally
-	started  time.Time // Of the tallied time.
+	script  Script
+	config  note.Config
+	narrow  bottleneck
+	system  System
+	clock   ports.Clock
+	sender  *sender
+	tally   *tally
+	started time.Time // Of the tallied time.
 
 	share   atomic.Uint64 // Load share in millionths.
 	waiting atomic.Int64
@@ -47,7 +47,7 @@
 
 // rate returns the requests per second to offer at a time.
 func (l *load) rate(now time.Time) float64 {
-	rate := float64(l.share.Load()) / millionths * l.capacity
+	rate := float64(l.share.Load()) / millionths * l.narrow.rate
 	if left := l.started.Sub(now); left > 0 {
 		steps := float64(rampSteps) * float64(left) / float64(milliseconds(l.script.WarmUpMS))
 		rate *= (1 + float64(rampSteps) - steps) / (1 + float64(rampSteps))
--- a/trial/page.go
+++ b/trial/page.go
@@ -38,6 +38,7 @@
 	return []chart.Fact{
 		{Name: "attainment", Value: percent(r.Total.Attainment())},
 		{Name: "attained per second", Value: fmt.Sprintf("%.1f", r.AttainedPerSecond)},
+		{Name: "goodput of the capacity", Value: percent(r.GoodputShare)},
 		{Name: "wasted target time", Value: percent(total.WastedShare())},
 		{Name: "first token, 95 in 100", Value: fmt.Sprintf("%.0f ms", r.FirstToken.P95)},
 		{Name: "broken properties", Value: strconv.Itoa(broken), Bad: broken > 0},
--- a/trial/print.go
+++ b/trial/print.go
@@ -50,8 +50,9 @@
 
 func (p *printer) head(r Result) {
 	p.text("%s on %s, policy %s, seed %d", r.Script, r.Deployment, r.Policy, r.Seed)
-	p.text("capacity %.1f/s, offered %.1f/s, attained %.1f/s over %.1f s; caller retries %.2f, internal retries %.3f per request",
-		r.Capacity, r.OfferedPerSecond, r.AttainedPerSecond, milliseconds(r.DurationMS).Seconds(), r.CallerRetries, r.InternalRetries)
+	p.text("capacity %.1f/s, offered %.1f/s, attained %.1f/s over %.1f s; goodput %.1f%% of the capacity of %s",
+		r.Capacity, r.OfferedPerSecond, r.AttainedPerSecond, milliseconds(r.DurationMS).Seconds(), 100*r.GoodputShare, r.Bottleneck)
+	p.text("retries per first attempt: %.2f by callers, %.3f internal", r.CallerRetries, r.InternalRetries)
 	if r.NotOffered > 0 {
 		p.text("NOT OFFERED: %d requests, too many callers waited", r.NotOffered)
 	}
--- a/trial/result.go
+++ b/trial/result.go
@@ -18,18 +18,26 @@
 	Capacity   float64 `json:"capacity_per_second"`
 	// OfferedPerSecond is the script's load share of the capacity.
 	OfferedPerSecond float64 `json:"offered_per_second"`
-	// AttainedPerSecond is the goodput.
-	AttainedPerSecond float64          `json:"attained_per_second"`
-	DurationMS        int64            `json:"duration_ms"`
-	Total             Tally            `json:"total"`
-	Classes           map[string]Tally `json:"classes"`
-	Accounts          map[string]Tally `json:"accounts"`
-	Failures          map[string]int   `json:"failures"` // By kind and verdict.
-	Latency           Percentiles      `json:"latency"`
-	FirstToken        Percentiles      `json:"first_token"`
-	BetweenTokens     Percentiles      `json:"between_tokens"`
-	Stages            map[string]Cost  `json:"stages"`
-	AccountCosts      map[string]Cost  `json:"account_costs"`
+	// AttainedPerSecond is the rate of answers, whole and in time, that came
+	// within the tallied time.
+	AttainedPerSecond float64 `json:"attained_per_second"`
+	// Bottleneck is the service that is full first. GoodputShare is the work of
+	// those answers at that service, at the usual speed, as a share of what its
+	// warm targets can do in the time. It does not depend on which requests
+	// were answered.
+	Bottleneck   string  `json:"bottleneck"`
+	GoodputShare float64 `json:"goodput_share"`
+
+	DurationMS    int64            `json:"duration_ms"`
+	Total         Tally            `json:"total"`
+	Classes       map[string]Tally `json:"classes"`
+	Accounts      map[string]Tally `json:"accounts"`
+	Failures      map[string]int   `json:"failures"` // By kind and verdict.
+	Latency       Percentiles      `json:"latency"`
+	FirstToken    Percentiles      `json:"first_token"`
+	BetweenTokens Percentiles      `json:"between_tokens"`
+	Stages        map[string]Cost  `json:"stages"`
+	AccountCosts  map[string]Cost  `json:"account_costs"`
 	// CallerRetries and InternalRetries are per first attempt.
 	CallerRetries   float64       `json:"caller_retries"`
 	InternalRetries float64       `json:"internal_retries"`
@@ -119,13 +127,15 @@
 	records := l.tally.records
 	result := Result{
 		Script: l.script.Name, Deployment: l.script.Deployment, Policy: e.options.Policy, Seed: l.script.Seed,
-		Capacity: l.capacity, OfferedPerSecond: l.script.LoadShare * l.capacity, DurationMS: l.script.DurationMS,
+		Capacity: l.narrow.rate, OfferedPerSecond: l.script.LoadShare * l.narrow.rate,
+		Bottleneck: l.narrow.service, DurationMS: l.script.DurationMS,
 		Classes: make(map[string]Tally), Accounts: make(map[string]Tally), Failures: make(map[string]int),
 		Latency: percentiles(l.tally.latency), FirstToken: percentiles(l.tally.first),
 		BetweenTokens: percentiles(l.tally.between), Targets: e.fleet.Snapshot(),
 		Marks: e.operator.marks, Errors: e.operator.errors, NotOffered: l.dropped.Load(),
 	}
 	result.count(records)
+	result.countGoodput(records, l)
 	ledger := newAccounting(records, e.fleet.Costs())
 	result.Stages, result.AccountCosts = ledger.services, ledger.accounts
 	result.InternalRetries = ledger.retryShare()
@@ -153,12 +163,28 @@
 			r.Failures[v.failure.String()+" "+v.verdict.String()]++
 		}
 	}
-	r.AttainedPerSecond = float64(r.Total.Attained) / milliseconds(r.DurationMS).Seconds()
 	if r.Total.Requests > 0 {
 		r.CallerRetries = float64(attempts-r.Total.Requests) / float64(r.Total.Requests)
 	}
 }
 
+// countGoodput adds up the answers that came within the tallied time, those to
+// requests of the warm-up included.
+func (r *Result) countGoodput(records []record, l *load) {
+	duration := milliseconds(r.DurationMS)
+	answers, work := 0, 0.0
+	for _, v := range records {
+		end := v.at + v.latency
+		if !v.attained() || end < 0 || end >= duration {
+			continue
+		}
+		answers++
+		work += pipelineSeconds(l.config, v.planned.pipeline, l.narrow.service)
+	}
+	r.AttainedPerSecond = float64(answers) / duration.Seconds()
+	r.GoodputShare = work / (l.narrow.slots * duration.Seconds())
+}
+
 func (r *Result) countSecond(v record) {
 	i := int(v.at / time.Second)
 	if i < 0 || i >= len(r.Seconds) {
--- a/trial/run.go
+++ b/trial/run.go
@@ -21,8 +21,8 @@
 	Policy string // "owned" or the name of a baseline.
 	// Deployment replaces the script's, unless empty.
 	Deployment string
-	// MaxRate lowers the warm limits of the services so that their capacity is
-	// at most this many requests a second; zero leaves them.
+	// MaxRate lowers the limits of the targets so that their capacity is about
+	// this many requests a second; zero leaves them.
 	MaxRate float64
 	Network ports.Network
 	Clock   ports.Clock
@@ -80,14 +80,14 @@
 
 func newExperiment(script Script, options Options, config note.Config, fleet *emul.Fleet, system System) *experiment {
 	l := &load{
-		script:   script,
-		config:   config,
-		capacity: capacity(config, script.mix(config)),
-		system:   system,
-		clock:    options.Clock,
-		sender:   newSender(options.Network, options.Clock),
-		tally:    newTally(),
-		started:  options.Clock.Now().Add(milliseconds(script.WarmUpMS)),
+		script:  script,
+		config:  config,
+		narrow:  findBottleneck(config, script.mix(config)),
+		system:  system,
+		clock:   options.Clock,
+		sender:  newSender(options.Network, options.Clock),
+		tally:   newTally(),
+		started: options.Clock.Now().Add(milliseconds(script.WarmUpMS)),
 	}
 	l.setShare(script.LoadShare)
 	return &experiment{options: options, load: l, fleet: fleet, operator: &operator{load: l, fleet: fleet}}
