--- /dev/null
+++ b/ledger/bench_test.go
@@ -0,0 +1,63 @@
+package ledger
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"bergamotworks/ports"
+)
+
+// driveOrders takes orders through a shard, ten to a commit, each with a
+// result of 300 bytes.
+func driveOrders(s *Shard, orders int) {
+	now := time.Unix(1_800_000_000, 0)
+	revision := int64(0)
+	answer := func(actions []Action) {
+		for len(actions) > 0 {
+			var next []Action
+			for _, action := range actions {
+				switch action.(type) {
+				case Load:
+					next = append(next, s.Step(now, Loaded{Entries: []ports.KeyValue{}})...)
+				case Commit:
+					revision++
+					next = append(next, s.Step(now, Committed{Result: Applied, Revision: revision})...)
+				}
+			}
+			actions = next
+		}
+	}
+	for i := range orders {
+		subject := Subject{
+			Key:   Key{Account: "toits_unis", ID: fmt.Sprintf("01990000-0000-7000-8000-%012d", i), Stage: "order"},
+			Token: fmt.Sprintf("vm0/%032d", i), CreatedMS: now.UnixMilli(), Fingerprint: "0123456789abcdef",
+		}
+		answer(s.Step(now, Submitted{ID: uint64(2 * i), Op: Create{subject}}))
+		answer(s.Step(now, Submitted{ID: uint64(2*i + 1), Op: Complete{subject, make([]byte, 300)}}))
+		if i%10 == 9 {
+			now = now.Add(DefaultInterval)
+			answer(s.Step(now, Woken{}))
+		}
+	}
+}
+
+// BenchmarkOrder measures the processor time of a create and a completion.
+func BenchmarkOrder(b *testing.B) {
+	b.ReportAllocs()
+	driveOrders(&Shard{}, b.N)
+}
+
+// BenchmarkRecordMemory measures the memory of a sealed record.
+func BenchmarkRecordMemory(b *testing.B) {
+	var before, after runtime.MemStats
+	s := &Shard{}
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	driveOrders(s, max(b.N, 10_000))
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(s.Stats().Records), "heap_B/record")
+	runtime.KeepAlive(s)
+}
--- a/ledger/driver.go
+++ b/ledger/driver.go
@@ -19,6 +19,8 @@
 	tickInterval = time.Second
 	// inboxLength is the number of events that a driver takes in without waiting.
 	inboxLength = 256
+	// maxReadParallel is the number of keys that a takeover reads at once.
+	maxReadParallel = 16
 )
 
 // driver feeds one shard with events and carries out its actions.
@@ -45,7 +47,7 @@
 func newDriver(s *Service, shard int) *driver {
 	return &driver{
 		service: s,
-		shard:   &Shard{Index: shard, Interval: s.Interval},
+		shard:   &Shard{Index: shard, Interval: s.Interval, OpenBytes: s.OpenBytes},
 		inbox:   make(chan message, inboxLength),
 		waiters: make(map[uint64]chan Reply),
 	}
@@ -213,14 +215,16 @@
 // runLoad returns the function that reads the keys of a [Load].
 func (d *driver) runLoad(ctx context.Context, a Load) func() error {
 	return func() error {
-		var e Loaded
-		for _, k := range a.Keys {
-			found, err := d.read(ctx, k)
-			if err != nil {
-				e = Loaded{Err: err}
-				break
-			}
-			e.Entries = append(e.Entries, found.Entries...)
+		group, readCtx := errgroup.WithContext(ctx)
+		group.SetLimit(maxReadParallel)
+		reads := make([]read, len(a.Keys))
+		for i, k := range a.Keys {
+			reads[i] = read{driver: d, key: k}
+			group.Go(reads[i].runRead(readCtx))
+		}
+		e := Loaded{Err: group.Wait()}
+		for _, r := range reads {
+			e.Entries = append(e.Entries, r.found...)
 		}
 		d.service.count("ledger_loads_total", d.shard.Index).Inc()
 		d.post(ctx, e)
@@ -228,6 +232,22 @@
 	}
 }
 
+// read is the reading of one key.
+type read struct {
+	driver *driver
+	key    string
+	found  []ports.KeyValue
+}
+
+// runRead returns the function that reads the key.
+func (r *read) runRead(ctx context.Context) func() error {
+	return func() error {
+		answer, err := r.driver.read(ctx, r.key)
+		r.found = answer.Entries
+		return err
+	}
+}
+
 func (d *driver) read(ctx context.Context, key string) (ports.RangeResponse, error) {
 	ctx, stop := context.WithTimeout(ctx, storeTimeout)
 	defer stop()
--- a/ledger/fleet_test.go
+++ b/ledger/fleet_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/sirupsen/logrus"
@@ -14,23 +15,32 @@
 	"bergamotworks/ports"
 )
 
+// scriptOpenBytes is the size at which the scripts' open parts are sealed.
+const scriptOpenBytes = 32 << 10
+
 // fleet is a set of ledgers over one store in one process.
 type fleet struct {
 	store  ports.Store
 	limits note.Limits
 	mutex  sync.Mutex
 	writer string
+	hop    time.Duration // One-way delay of a call between nodes.
+	open   int           // OpenBytes of every ledger.
 	cut    map[string]bool
 	nodes  map[string]*ledger.Service
 	group  sync.WaitGroup
 }
 
 func newFleet(store ports.Store, limits note.Limits, names ...string) *fleet {
-	f := &fleet{store: store, limits: limits, writer: names[0], cut: map[string]bool{}, nodes: map[string]*ledger.Service{}}
+	f := &fleet{store: store, limits: limits, writer: names[0], open: scriptOpenBytes, cut: map[string]bool{}, nodes: map[string]*ledger.Service{}}
+	f.startAll(names)
+	return f
+}
+
+func (f *fleet) startAll(names []string) {
 	for i, n := range names {
 		f.start(n, uint64(i))
 	}
-	return f
 }
 
 func (f *fleet) start(name string, seed uint64) {
@@ -39,7 +49,7 @@
 	s := &ledger.Service{
 		VM: name, Store: f.store, Peers: f, Owners: owners{fleet: f, vm: name},
 		Clock: ports.SystemClock{}, Random: ports.NewSeededRandom(seed), Log: log,
-		Metrics: metrics.NewSet(), Limits: func() note.Limits { return f.limits },
+		Metrics: metrics.NewSet(), OpenBytes: f.open, Limits: func() note.Limits { return f.limits },
 	}
 	f.mutex.Lock()
 	f.nodes[name] = s
@@ -86,7 +96,9 @@
 		ledger.MethodCreate: s.HandleCreate, ledger.MethodComplete: s.HandleComplete,
 		ledger.MethodWithdraw: s.HandleWithdraw, ledger.MethodLookup: s.HandleLookup,
 	}
+	time.Sleep(f.hop)
 	told, err := handlers[method](ctx, ask)
+	time.Sleep(f.hop)
 	*result.(*ledger.Told) = told
 	return err
 }
--- a/ledger/service.go
+++ b/ledger/service.go
@@ -55,6 +55,9 @@
 	// Interval is the least time between two commits of a shard,
 	// [DefaultInterval] if zero.
 	Interval time.Duration
+	// OpenBytes is the size at which an open part is sealed,
+	// [DefaultOpenBytes] if zero.
+	OpenBytes int
 
 	once     sync.Once
 	ready    chan struct{} // Closed once the drivers run.
--- a/ledger/shard.go
+++ b/ledger/shard.go
@@ -13,7 +13,7 @@
 	// DefaultInterval is the least time between two commits of a shard.
 	DefaultInterval = 40 * time.Millisecond
 	// DefaultOpenBytes is the size at which the open part is sealed.
-	DefaultOpenBytes = 32 << 10
+	DefaultOpenBytes = 16 << 10
 	// DefaultQueueLength bounds the operations that wait for a commit.
 	DefaultQueueLength = 4096
 )
