--- /dev/null
+++ b/emul/order.go
@@ -0,0 +1,104 @@
+package emul
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"bergamotworks/engine"
+)
+
+// orderState is what engine orders change.
+type orderState struct {
+	model    string
+	role     string
+	adapters map[string]bool
+	fence    int64
+}
+
+// load answers with the load as it was some time ago.
+func (h handler) load(ctx *fasthttp.RequestCtx) {
+	t := h.target
+	t.mutex.Lock()
+	report := h.life.batch.report(t.Clock.Now().Add(-t.reportLag()))
+	report.Incarnation = t.incarnation
+	report.Model, report.Role, report.Fence = t.state.model, t.state.role, t.state.fence
+	report.Adapters = slices.Sorted(maps.Keys(t.state.adapters))
+	t.mutex.Unlock()
+	writeJSON(ctx, report)
+}
+
+func (t *Target) reportLag() time.Duration {
+	if t.ReportLag == 0 {
+		return defaultReportLag
+	}
+	return t.ReportLag
+}
+
+// cacheEvents answers with the cache events after a sequence number.
+func (h handler) cacheEvents(ctx *fasthttp.RequestCtx) {
+	since, _ := strconv.ParseInt(string(ctx.QueryArgs().Peek("since")), 10, 64)
+	h.target.mutex.Lock()
+	events := h.life.batch.cache.since(since)
+	h.target.mutex.Unlock()
+	writeJSON(ctx, events)
+}
+
+// order obeys an engine order. An old fencing number is refused only by
+// services that look at it.
+func (h handler) order(ctx *fasthttp.RequestCtx) {
+	var body engine.OrderBody
+	if err := json.Unmarshal(ctx.PostBody(), &body); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	fence, _ := strconv.ParseInt(string(ctx.Request.Header.Peek(engine.HeaderFencingToken)), 10, 64)
+	t := h.target
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if t.Service.RefusesOldFences && fence < t.state.fence {
+		t.counts.OrdersRefused++
+		ctx.SetStatusCode(fasthttp.StatusConflict)
+		return
+	}
+	if !t.state.obey(string(ctx.Path()), body) {
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+		return
+	}
+	t.state.fence = max(t.state.fence, fence)
+	t.counts.OrdersObeyed++
+}
+
+// obey changes the state; it reports false for an unknown path.
+func (o *orderState) obey(path string, body engine.OrderBody) bool {
+	if o.adapters == nil {
+		o.adapters = make(map[string]bool)
+	}
+	switch path {
+	case engine.PathLoadAdapter:
+		o.adapters[body.Adapter] = true
+	case engine.PathUnloadAdapter:
+		delete(o.adapters, body.Adapter)
+	case engine.PathLoadModel:
+		o.model = body.Model
+	case engine.PathChangeRole:
+		o.role = body.Role
+	default:
+		return false
+	}
+	return true
+}
+
+func writeJSON(ctx *fasthttp.RequestCtx, value any) {
+	body, err := json.Marshal(value)
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(body)
+}
