Refuse a little before the stages cannot end in time

Cause: calls that just fit by the forecast were refused by the language model's queue after three stages had run. Change: a forecast exceeds the wait by a quarter.

--- a/route/forecast.go
+++ b/route/forecast.go
@@ -2,6 +2,10 @@
 
 import "time"
 
+// waitMargin is the part of a wait by which a forecast exceeds it, so that calls
+// that grow late are refused before the first stage and not at a later one.
+const waitMargin = 4
+
 // Work describes stage calls whose time is forecast.
 type Work struct {
 	Service string
@@ -26,7 +30,8 @@
 	if !e.known(now) {
 		return 0
 	}
-	return fade(e.waitOf(work), now.Sub(e.seen)) + e.summary.Cost
+	wait := fade(e.waitOf(work), now.Sub(e.seen))
+	return wait + wait/waitMargin + e.summary.Cost
 }
 
 // waitOf returns the wait that the last summary gives for some work.
