Count an engine's restart from the end of the sending

Cause: random schedules showed an old order after a newer one on an engine that ignores fencing numbers: the issuer was paused between claim and sending, the engine restarted meanwhile, the order went to the new life and was held up on the way; the issuer compared with the incarnation at the claim and took the order for lost. Ruled out: the comparison of the record (the store's swaps were right) and the takeover (a single issuer did it). Change: the incarnation that counts is the first one read after the sending has ended.

--- a/order/decide.go
+++ b/order/decide.go
@@ -21,6 +21,9 @@
 	// last one whose outcome it knows.
 	sent      int64
 	concluded int64
+	// Incarnation of the engine that was seen first after the sending of the
+	// last order had ended without an answer.
+	after string
 }
 
 // action is what is to be done about a target.
@@ -75,8 +78,8 @@
 		return send{}
 	case o.refuses && o.now.Sub(r.claimed()) >= takeoverPeriod:
 		return o.takeOver()
-	case own && o.engine.Incarnation != r.Incarnation:
-		// The engine that this process has sent the order to is gone.
+	case own && o.after != "" && o.engine.Incarnation != o.after:
+		// Whatever life of the engine the order was sent to is over.
 		return settle{}
 	}
 	return await{}
--- a/order/fleet_test.go
+++ b/order/fleet_test.go
@@ -27,6 +27,17 @@
 	loads       []int64 // Milliseconds since the start.
 	loseAnswer  int     // Answers to lose after the order has run.
 	loseRequest int     // Orders to lose on the way.
+	holdRequest int     // Orders to hold up on the way until deliver.
+	held        []Command
+}
+
+// deliver lets the orders arrive that were held up. Their senders have given up.
+func (e *fakeEngine) deliver(since time.Duration) {
+	held := e.held
+	e.held = nil
+	for _, c := range held {
+		_ = e.apply(c, since)
+	}
 }
 
 func (e *fakeEngine) apply(c Command, since time.Duration) error {
@@ -34,6 +45,11 @@
 		e.loseRequest--
 		return lost()
 	}
+	if e.holdRequest > 0 {
+		e.holdRequest--
+		e.held = append(e.held, c)
+		return lost()
+	}
 	entry := fmt.Sprintf("%d %s %s %s", c.Fence, c.Kind, c.Subject, c.Version)
 	if e.refuses && c.Fence <= e.fence {
 		e.log = append(e.log, entry+" refused")
@@ -161,7 +177,9 @@
 func (p *process) pause() {
 	p.fleet.mutex.Lock()
 	defer p.fleet.mutex.Unlock()
-	p.paused = make(chan struct{})
+	if p.paused == nil {
+		p.paused = make(chan struct{})
+	}
 }
 
 func (p *process) resume() {
--- /dev/null
+++ b/order/random_test.go
@@ -0,0 +1,132 @@
+package order
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"bergamotworks/note"
+	"bergamotworks/store"
+)
+
+// TestRandomSchedules runs processes that are paused, replaced and cut off, and
+// checks on the engines' side that no order ever follows a newer one, that none
+// is given twice, and that the wanted state is reached in the end.
+func TestRandomSchedules(t *testing.T) {
+	_ = flag.Set("rapid.seed", "20260103")
+	_ = flag.Set("rapid.nofailfile", "true")
+	rapid.Check(t, func(r *rapid.T) {
+		data := scene{Engines: 2, PerMinute: 600, Refuses: rapid.Bool().Draw(r, "refuses")}
+		data.Steps = rapid.SliceOfN(rapid.Custom(drawStep), 10, 50).Draw(r, "steps")
+		var failure string
+		synctest.Test(t, func(t *testing.T) { failure = play(t, data) })
+		if failure != "" {
+			r.Fatal(failure)
+		}
+	})
+}
+
+func drawStep(r *rapid.T) step {
+	s := step{
+		VM:     rapid.SampledFrom([]string{"a", "b", "c"}).Draw(r, "vm"),
+		Engine: rapid.SampledFrom([]string{"e0", "e1"}).Draw(r, "engine"),
+		Count:  1,
+		WaitMS: rapid.SampledFrom([]int64{100, 3000, 15000, 150000}).Draw(r, "wait"),
+	}
+	s.Do = rapid.SampledFrom([]string{
+		"owner", "owner", "pause", "pause", "resume", "faults", "clear", "release",
+		"orders", "orders", "orders", "lose_answer", "lose_request", "hold_request", "deliver", "restart", "wait", "wait", "wait", "wait",
+	}).Draw(r, "do")
+	if s.Do == "owner" && rapid.Bool().Draw(r, "disputed") {
+		s.VM = "all"
+	}
+	s.Incarnation = fmt.Sprint(rapid.Uint32().Draw(r, "incarnation"))
+	s.Faults = []store.Fault{{
+		Kind: rapid.SampledFrom([]store.FaultKind{
+			store.FaultDown, store.FaultRequestLost, store.FaultAnswerLost, store.FaultLate,
+			store.FaultSlow, store.FaultStaleRead,
+		}).Draw(r, "fault"),
+		Skip:    rapid.IntRange(0, 3).Draw(r, "skip"),
+		Count:   rapid.IntRange(1, 5).Draw(r, "count"),
+		DelayMS: rapid.Int64Range(0, 3000).Draw(r, "delay"),
+		Back:    rapid.Int64Range(1, 6).Draw(r, "back"),
+	}}
+	role := rapid.SampledFrom([]string{"prefill", "decode", "mixed"}).Draw(r, "role")
+	s.Orders = map[string]note.EngineOrder{"role": {Kind: note.ChangeRole, Service: "llm", Subject: role}}
+	return s
+}
+
+func play(t *testing.T, data scene) string {
+	f := newFleet(t)
+	f.furnish(data)
+	defer f.close()
+	for _, vm := range []string{"a", "b", "c"} {
+		f.launch(vm)
+	}
+	f.run(step{Do: "owner", VM: "a"})
+	for _, s := range data.Steps {
+		if s.Do == "pause" && f.owner != "all" {
+			s.VM = f.owner // Another one has nothing to send.
+		}
+		f.run(s)
+	}
+	f.mend()
+	for name, e := range f.engines {
+		if failure := e.check(); failure != "" {
+			return name + ": " + failure
+		}
+		for _, o := range f.config.Sections.Orders {
+			if e.state.Role != o.Subject {
+				return fmt.Sprintf("%s has the role %q instead of %q", name, e.state.Role, o.Subject)
+			}
+		}
+	}
+	return ""
+}
+
+// mend ends all faults. An operator abandons what is open then: no process is
+// paused any more.
+func (f *fleet) mend() {
+	for _, p := range f.processes {
+		p.faults.Clear()
+		p.faults.Release(context.Background())
+		p.resume()
+	}
+	f.run(step{Do: "owner", VM: "a"})
+	for _, name := range []string{"e0", "e1"} {
+		f.run(step{Do: "lose_answer", Engine: name})
+		f.run(step{Do: "lose_request", Engine: name})
+		f.run(step{Do: "hold_request", Engine: name})
+		f.run(step{Do: "deliver", Engine: name})
+	}
+	time.Sleep(5 * time.Minute)
+	for name := range f.engines {
+		r, err := readRecord(context.Background(), f.memory, name)
+		if err == nil && r.Phase == PhaseOpen {
+			_ = f.processes["a"].Abandon(context.Background(), name, r.Command.Fence)
+		}
+	}
+	time.Sleep(5 * time.Minute)
+}
+
+// check looks for an order that came after a newer one or came twice.
+func (e *fakeEngine) check() string {
+	last := int64(0)
+	for _, entry := range e.log {
+		if strings.HasSuffix(entry, " refused") {
+			continue
+		}
+		var fence int64
+		if _, err := fmt.Sscan(entry, &fence); err != nil || fence <= last {
+			return fmt.Sprintf("order after a newer one or twice: %q", e.log)
+		}
+		last = fence
+	}
+	return ""
+}
--- a/order/record.go
+++ b/order/record.go
@@ -29,8 +29,6 @@
 	Phase   Phase   `json:"phase"`
 	Issuer  string  `json:"issuer"` // VM and process.
 	Command Command `json:"command"`
-	// Incarnation is the one of the engine before the order.
-	Incarnation string `json:"incarnation,omitempty"`
 	// ClaimedMS is the issuer's time of the claim, in Unix milliseconds.
 	ClaimedMS int64 `json:"claimed_ms"`
 
--- a/order/script_test.go
+++ b/order/script_test.go
@@ -115,7 +115,12 @@
 		f.engines[s.Engine].loseAnswer = s.Count
 	case "lose_request":
 		f.engines[s.Engine].loseRequest = s.Count
+	case "hold_request":
+		f.engines[s.Engine].holdRequest = s.Count
+	case "deliver":
+		f.engines[s.Engine].deliver(time.Since(f.start))
 	case "restart":
+		f.engines[s.Engine].held = nil // The old process had the connections.
 		f.engines[s.Engine].state = EngineState{Incarnation: s.Incarnation}
 	case "log":
 		return cmp.Diff(s.Log, f.engines[s.Engine].log)
--- a/order/service.go
+++ b/order/service.go
@@ -65,6 +65,9 @@
 	// this process knows.
 	sent      int64
 	concluded int64
+	// Incarnation seen first after an order was sent and got no answer.
+	after    string
+	returned bool // The sending of the last order has ended.
 }
 
 // Run carries out orders until the context ends or the service is closed.
--- a/order/task.go
+++ b/order/task.go
@@ -79,6 +79,7 @@
 		wanted:    t.wanted,
 		sent:      known.sent,
 		concluded: known.concluded,
+		after:     known.after,
 	}
 	var err error
 	if !known.open {
@@ -91,6 +92,10 @@
 		return o, err
 	}
 	o.engine, err = s.Engine.State(ctx, t.address)
+	if known.returned && known.after == "" && err == nil {
+		o.after = o.engine.Incarnation
+		s.update(t.name, func(known *targetState) { known.after = o.after })
+	}
 	return o, err
 }
 
@@ -127,12 +132,11 @@
 	ctx, cancel := context.WithTimeout(t.ctx, callTimeout)
 	defer cancel()
 	replaced, err := o.record.replace(ctx, s.Store, Record{
-		Target:      t.name,
-		Phase:       PhaseOpen,
-		Issuer:      s.Self,
-		Command:     command,
-		Incarnation: o.engine.Incarnation,
-		ClaimedMS:   s.Clock.Now().UnixMilli(),
+		Target:    t.name,
+		Phase:     PhaseOpen,
+		Issuer:    s.Self,
+		Command:   command,
+		ClaimedMS: s.Clock.Now().UnixMilli(),
 	})
 	if err != nil || !replaced {
 		return outcome{wait: retryPeriod, open: true}
@@ -145,11 +149,14 @@
 // once for each fencing number.
 func (t *task) send(r Record) outcome {
 	s := t.service
-	s.update(t.name, func(known *targetState) { known.sent = r.Command.Fence })
+	s.update(t.name, func(known *targetState) {
+		known.sent, known.after, known.returned = r.Command.Fence, "", false
+	})
 	ctx, cancel := context.WithTimeout(t.ctx, applyTimeout)
 	defer cancel()
 	s.count("order_sent_total")
 	err := s.Engine.Apply(ctx, t.address, r.Command)
+	s.update(t.name, func(known *targetState) { known.returned = true })
 	log := t.log().WithFields(logrus.Fields{
 		"order":   r.Command.Kind.String(),
 		"subject": r.Command.Subject,
