Let callers take a refusal that comes at the deadline

Cause: a caller stopped listening at its deadline, so that the truthful refusal sent then was counted as a lost connection.

Change: callers wait a quarter of a second longer; an answer in that time is late.

Not measured on whole nodes yet.

--- a/trial/caller.go
+++ b/trial/caller.go
@@ -16,6 +16,10 @@
 	record  record
 }
 
+// answerGrace is the time after its deadline in which a caller still takes a
+// refusal. An answer in that time counts as late.
+const answerGrace = 250 * time.Millisecond
+
 // record is what one caller met.
 type record struct {
 	planned  planned
@@ -79,7 +83,7 @@
 
 // attempt sends the request once.
 func (c *caller) attempt(ctx context.Context) {
-	limit := c.left()
+	limit := c.left() + answerGrace
 	if t := milliseconds(c.load.script.Callers.AttemptTimeoutMS); t > 0 {
 		limit = min(limit, t)
 	}
