Check what callers of orders are told at last

Cause: 'false not run' looks only at requests whose every attempt was refused. A caller whose first attempt was lost while the order ran, and whose repeat under the same key is told 'not run', would order again; nothing counted that.

Change: a property for it: no answer, the last verdict 'not run', and a non-idempotent stage that began. A node that forgets keys fails exactly this property for orders, and none for lookups.

--- a/trial/caller.go
+++ b/trial/caller.go
@@ -41,6 +41,10 @@
 // onlyRefused reports whether every attempt was refused with "not run".
 func (r record) onlyRefused() bool { return !r.answered && r.refusals == r.attempts }
 
+// deniedLast reports whether the caller was told at last that its request has
+// not run.
+func (r record) deniedLast() bool { return !r.answered && r.verdict == fault.NotRun }
+
 // run sends the request and reports the record.
 func (c *caller) run(ctx context.Context) {
 	defer c.load.group.Done()
--- a/trial/cost.go
+++ b/trial/cost.go
@@ -39,6 +39,7 @@
 	repeats  int // Runs beyond those that the caller's attempts explain.
 	doubles  int // Non-idempotent runs beyond the expected ones.
 	falsely  int // Requests that ran although every attempt was refused with "not run".
+	denied   int // Orders that ran although the last attempt was refused with "not run".
 }
 
 func newAccounting(records []record, costs map[string][]emul.Cost) *accounting {
@@ -48,6 +49,9 @@
 		if v.onlyRefused() && ran(spent) {
 			a.falsely++
 		}
+		if v.deniedLast() && ranOnce(spent) {
+			a.denied++
+		}
 		for _, c := range spent {
 			a.charge(v, c)
 		}
@@ -64,6 +68,16 @@
 	return false
 }
 
+// ranOnce reports whether a non-idempotent stage began.
+func ranOnce(costs []emul.Cost) bool {
+	for _, c := range costs {
+		if c.Keyed > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // charge charges the work of one request at one service.
 func (a *accounting) charge(r record, c emul.Cost) {
 	expected := max(r.planned.visits[c.Service], 1)
--- a/trial/fake_test.go
+++ b/trial/fake_test.go
@@ -33,6 +33,7 @@
 	config note.Config
 	count  int
 	last   json.RawMessage
+	keys   map[string]bool
 }
 
 func (f *fakeSystem) start(_ context.Context, config note.Config, _ string) (System, error) {
@@ -98,7 +99,14 @@
 		return
 	}
 	pipeline := strings.TrimPrefix(string(ctx.Path()), pipelinePrefix)
+	if f.defect == "forgets" && f.seen(ctx) {
+		f.refuse(ctx, fault.New(fault.Busy, fault.NotRun, "busy"))
+		return
+	}
 	output, err := f.pipeline(pipeline, body.Input)
+	if f.defect == "forgets" {
+		err = fault.New(fault.ConnectionLost, fault.MayHaveRun, "lost")
+	}
 	if err != nil {
 		f.refuse(ctx, err)
 		return
@@ -110,6 +118,19 @@
 	ctx.SetBodyString(fmt.Sprintf(`{"output":%s}`, f.cross(output)))
 }
 
+// seen reports whether the key of a call has come before.
+func (f *fakeSystem) seen(ctx *fasthttp.RequestCtx) bool {
+	key := string(ctx.Request.Header.Peek(engine.HeaderIdempotencyKey))
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	before := f.keys[key]
+	if f.keys == nil {
+		f.keys = make(map[string]bool)
+	}
+	f.keys[key] = true
+	return before
+}
+
 // stream writes the tokens of an output and then the output.
 func (f *fakeSystem) stream(ctx *fasthttp.RequestCtx, output json.RawMessage) {
 	var generated struct {
--- a/trial/property.go
+++ b/trial/property.go
@@ -42,6 +42,7 @@
 		property("double runs of non-idempotent stages", float64(a.doubles), 0),
 		property("attempts sent twice", float64(targets.Total.RepeatedAttempts), 0),
 		property("false not run", float64(a.falsely), 0),
+		property("orders that ran but were called not run at last", float64(a.denied), 0),
 		property("wrong, incomplete or crossed answers", float64(wrong), 0),
 		property("crashes by overload", float64(targets.Total.OverloadCrashes), 0),
 		property("crashes by a poison request", float64(targets.Total.PoisonCrashes), maxPoisonCrashes),
