--- a/ledger/client.go
+++ b/ledger/client.go
@@ -147,7 +147,8 @@
 	return nil
 }
 
-// Lookup returns the record of a call. The error is NotFound if there is none.
+// Lookup returns the record of a call, as it was within the last moments. The
+// error is NotFound if there is none, or if it was withdrawn.
 func (s *Service) Lookup(ctx context.Context, key Key) (Claim, error) {
 	if err := key.check(); err != nil {
 		return Claim{}, err
@@ -159,6 +160,9 @@
 	if answer.Outcome == Absent {
 		return Claim{}, fault.New(fault.NotFound, fault.MayHaveRun, "no record is kept under this key")
 	}
+	if answer.Record.State == Withdrawn {
+		return Claim{}, fault.New(fault.NotFound, fault.MayHaveRun, "the record was withdrawn by %s", answer.Record.Token)
+	}
 	return s.existing(ctx, answer)
 }
 
--- a/ledger/compare_test.go
+++ b/ledger/compare_test.go
@@ -178,6 +178,7 @@
 
 func (j *journalDesign) create(ctx context.Context, node int, r ledger.Request) (string, func()) {
 	s := j.fleet.node(fmt.Sprint("n", node))
+	_, _ = s.Lookup(ctx, r.Key) // A run looks for the results of its later stages first.
 	claim, err := s.Create(ctx, r)
 	if err != nil {
 		return fault.VerdictOf(err).String(), nil
--- a/ledger/decide.go
+++ b/ledger/decide.go
@@ -38,15 +38,19 @@
 	switch op.(type) {
 	case Complete:
 		return a.Outcome != Stored
-	case Lookup:
-		return a.Outcome == Absent || a.Record.State != Completed
 	case Create:
-		pending := a.Outcome == Existing && a.Record.State == Pending
-		return pending && s.failures == 0 && s.now.Sub(s.seenAt) > seenPeriod
+		return a.Outcome == Existing && a.Record.State == Pending && s.outdated()
+	case Lookup:
+		return a.Record.State != Completed && s.outdated()
 	}
 	return false
 }
 
+// outdated reports whether the journal was last seen long ago and can be read.
+func (s *Shard) outdated() bool {
+	return s.failures == 0 && s.now.Sub(s.seenAt) > seenPeriod
+}
+
 // decide judges an operation by the journal as it was read or written last.
 // A decision to write is final only once its compare-and-swap is applied.
 // The answers to Create and Withdraw without a write stay true if the journal
--- a/ledger/script_test.go
+++ b/ledger/script_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -137,6 +138,8 @@
 			g.born[s.ID] = time.Now().Add(-time.Duration(s.AgeMS) * time.Millisecond)
 		}
 		return g.keep(s, g.create(s))
+	case "history":
+		return g.history(ctx, s)
 	case "lookup":
 		return describe(node.Lookup(ctx, key(s)))
 	case "withdraw":
@@ -164,6 +167,20 @@
 	return told{text: describe(claim, err), claim: claim}
 }
 
+// history lists the kept states of a key with the VM that held each.
+func (g *stage) history(ctx context.Context, s step) string {
+	history, err := ledger.ReadHistory(ctx, g.memory, key(s))
+	if err != nil {
+		return describeError(err)
+	}
+	var states []string
+	for _, r := range history.States {
+		vm, _, _ := strings.Cut(r.Token, "/")
+		states = append(states, fmt.Sprintf("%s by %s", r.State, vm))
+	}
+	return strings.Join(states, ", ")
+}
+
 // parts counts the sealed parts and the results kept under keys of their own.
 func (g *stage) parts() string {
 	ctx := context.Background()
--- a/ledger/shard.go
+++ b/ledger/shard.go
@@ -18,8 +18,8 @@
 	DefaultQueueLength = 4096
 )
 
-// seenPeriod is the time for which a pending record is reported without
-// reading the head again.
+// seenPeriod is the time for which a record is reported pending or absent
+// without reading the head again.
 const seenPeriod = 100 * time.Millisecond
 
 // Bounds of the waits after a failure of the store.
