Let the request's deadline end a target's work, not the stage's

Cause: the deadline that leaves later stages their time was also the one at which the call to the target was cut, so that work which would have ended in time for a quick rest of the pipeline was thrown away. Change: the stage's deadline decides on admission, the request's on the call.

--- a/flow/stage.go
+++ b/flow/stage.go
@@ -149,7 +149,8 @@
 func (g *stageRun) call(name string) owner.StageCall {
 	r := g.run
 	return owner.StageCall{
-		Pool: name,
+		Pool:  name,
+		Limit: r.limit(),
 		Call: pool.Call{
 			Attempt:     uuid.NewString(),
 			Request:     r.request.ID,
--- a/owner/execute.go
+++ b/owner/execute.go
@@ -126,7 +126,10 @@
 func (e *execution) engineCall(action pool.Dispatch) engine.Call {
 	config := e.service.Config()
 	service := config.Sections.Services[e.owned.spec().Service]
-	deadline := e.call.Call.Deadline
+	deadline := e.call.Limit
+	if deadline.IsZero() {
+		deadline = e.call.Call.Deadline
+	}
 	if !e.call.Call.Idempotent {
 		deadline = deadline.Add(lateLimit)
 	}
--- a/owner/message.go
+++ b/owner/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"time"
 
 	"bergamotworks/engine"
 	"bergamotworks/fault"
@@ -16,8 +17,12 @@
 
 // StageCall asks the owner of a pool to run one attempt at a stage.
 type StageCall struct {
-	Pool           string          `json:"pool"`
-	Call           pool.Call       `json:"call"`
+	Pool string    `json:"pool"`
+	Call pool.Call `json:"call"`
+	// Limit is the deadline of the whole request, at which the target's work
+	// ends. The deadline of Call leaves later stages their time and decides on
+	// admission only.
+	Limit          time.Time       `json:"limit"`
 	Input          json.RawMessage `json:"input"`
 	Previous       json.RawMessage `json:"previous,omitempty"`
 	IdempotencyKey string          `json:"idempotency_key,omitempty"`
