--- a/demo/system.go
+++ b/demo/system.go
@@ -300,6 +300,22 @@
 	return nil
 }
 
+// Accounted returns the target-seconds and tokens that the running nodes have
+// accounted for. What a killed node had counted is lost.
+func (s *System) Accounted() (targetSeconds float64, tokens int, err error) {
+	for i := range s.Size {
+		state, err := s.Node(i).Burn()
+		if err != nil {
+			return 0, 0, err
+		}
+		for _, c := range state.Snapshot.Costs {
+			targetSeconds += c.TargetSeconds
+			tokens += int(c.Tokens)
+		}
+	}
+	return targetSeconds, tokens, nil
+}
+
 // Close ends everything and waits for it.
 func (s *System) Close() error {
 	for _, r := range s.nodes {
--- a/node/account.go
+++ b/node/account.go
@@ -73,8 +73,8 @@
 	return out
 }
 
-// burn returns the node's service-level snapshot.
-func (n *Node) burn() (admin.BurnState, error) {
+// Burn returns the node's service-level snapshot and the changes it has seen.
+func (n *Node) Burn() (admin.BurnState, error) {
 	snapshot, err := n.burns.Snapshot(n.Clock.Now())
 	if err != nil {
 		return admin.BurnState{}, err
--- a/node/node.go
+++ b/node/node.go
@@ -332,7 +332,7 @@
 		KeyTime: ledger.KeyTime, Clock: n.Clock, Random: n.Random, Log: n.logger("entry"), Metrics: n.metrics,
 	}
 	n.admin = &admin.Server{
-		Listener: l.admin, Notes: n.conf, History: n.conf, Orders: n.orders, Status: n.status, Lagging: n.lagging, Burn: n.burn, Ledger: n.lookup, Ready: n.Ready,
+		Listener: l.admin, Notes: n.conf, History: n.conf, Orders: n.orders, Status: n.status, Lagging: n.lagging, Burn: n.Burn, Ledger: n.lookup, Ready: n.Ready,
 		Log: n.logger("admin"), Metrics: n.metrics,
 	}
 }
--- /dev/null
+++ b/trial/accounted.go
@@ -0,0 +1,35 @@
+package trial
+
+// Accounted is what the system itself says that its work cost, beside what the
+// stand-ins counted.
+type Accounted struct {
+	TargetSeconds float64 `json:"target_seconds"`
+	Tokens        int     `json:"tokens"`
+	// The stand-ins' counts cover the warm-up, as the system's accounts do.
+	StandInSeconds float64 `json:"stand_in_seconds"`
+	StandInTokens  int     `json:"stand_in_tokens"`
+}
+
+// Accountant is a [System] that accounts for the work of its targets.
+type Accountant interface {
+	// Accounted returns the target-seconds and tokens of all work so far.
+	Accounted() (targetSeconds float64, tokens int, err error)
+}
+
+// accounted compares the system's accounts with the stand-ins' counts. It
+// returns nil if the system keeps none.
+func (e *experiment) accounted(system System) (*Accounted, error) {
+	accountant, ok := system.(Accountant)
+	if !ok {
+		return nil, nil
+	}
+	total := e.fleet.Snapshot().Total
+	seconds, tokens, err := accountant.Accounted()
+	if err != nil {
+		return nil, err
+	}
+	return &Accounted{
+		TargetSeconds: seconds, Tokens: tokens,
+		StandInSeconds: total.Busy.Seconds(), StandInTokens: total.Tokens,
+	}, nil
+}
--- a/trial/print.go
+++ b/trial/print.go
@@ -53,6 +53,10 @@
 	p.text("capacity %.1f/s, offered %.1f/s, attained %.1f/s over %.1f s; goodput %.1f%% of the capacity of %s",
 		r.Capacity, r.OfferedPerSecond, r.AttainedPerSecond, milliseconds(r.DurationMS).Seconds(), 100*r.GoodputShare, r.Bottleneck)
 	p.text("retries per first attempt: %.2f by callers, %.3f internal", r.CallerRetries, r.InternalRetries)
+	if a := r.Accounted; a != nil {
+		p.text("accounts of the system: %.1f target-seconds, %d tokens; counted by the stand-ins: %.1f, %d",
+			a.TargetSeconds, a.Tokens, a.StandInSeconds, a.StandInTokens)
+	}
 	if r.NotOffered > 0 {
 		p.text("NOT OFFERED: %d requests, too many callers waited", r.NotOffered)
 	}
--- a/trial/result.go
+++ b/trial/result.go
@@ -42,6 +42,7 @@
 	CallerRetries   float64       `json:"caller_retries"`
 	InternalRetries float64       `json:"internal_retries"`
 	Targets         emul.Snapshot `json:"targets"`
+	Accounted       *Accounted    `json:"accounted,omitempty"`
 	Properties      []Property    `json:"properties"`
 	Seconds         []Second      `json:"seconds"`
 	Marks           []Mark        `json:"marks"`
--- a/trial/run.go
+++ b/trial/run.go
@@ -51,8 +51,13 @@
 	e := newExperiment(script, options, placed, fleet, system)
 	e.run(ctx)
 	result := e.result()
+	accounted, accountErr := e.accounted(system)
+	result.Accounted = accounted
 	closeErr := system.Close()
 	_ = fleet.Close()
+	if accountErr != nil {
+		return result, trace.Wrap(accountErr, "read the system's accounts")
+	}
 	if closeErr != nil {
 		return result, trace.Wrap(closeErr, "close the system")
 	}
