--- a/ledger/batch.go
+++ b/ledger/batch.go
@@ -97,7 +97,7 @@
 	open := append([]cbor.RawMessage(nil), s.journal.head.Open...)
 	size := s.journal.openBytes
 	for _, r := range b.records {
-		raw, err := encodeRecord(r)
+		raw, err := cbor.Marshal(r)
 		if err != nil {
 			return err
 		}
--- a/ledger/driver.go
+++ b/ledger/driver.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
 	"bergamotworks/fault"
-	"bergamotworks/ports"
 )
 
 const (
@@ -211,87 +209,3 @@
 	case <-ctx.Done():
 	}
 }
-
-// runLoad returns the function that reads the keys of a [Load].
-func (d *driver) runLoad(ctx context.Context, a Load) func() error {
-	return func() error {
-		group, readCtx := errgroup.WithContext(ctx)
-		group.SetLimit(maxReadParallel)
-		reads := make([]read, len(a.Keys))
-		for i, k := range a.Keys {
-			reads[i] = read{driver: d, key: k}
-			group.Go(reads[i].runRead(readCtx))
-		}
-		e := Loaded{Err: group.Wait()}
-		for _, r := range reads {
-			e.Entries = append(e.Entries, r.found...)
-		}
-		d.service.count("ledger_loads_total", d.shard.Index).Inc()
-		d.post(ctx, e)
-		return nil
-	}
-}
-
-// read is the reading of one key.
-type read struct {
-	driver *driver
-	key    string
-	found  []ports.KeyValue
-}
-
-// runRead returns the function that reads the key.
-func (r *read) runRead(ctx context.Context) func() error {
-	return func() error {
-		answer, err := r.driver.read(ctx, r.key)
-		r.found = answer.Entries
-		return err
-	}
-}
-
-func (d *driver) read(ctx context.Context, key string) (ports.RangeResponse, error) {
-	ctx, stop := context.WithTimeout(ctx, storeTimeout)
-	defer stop()
-	return d.service.Store.Range(ctx, ports.RangeRequest{Key: key})
-}
-
-// runCommit returns the function that sends the transaction of a [Commit].
-func (d *driver) runCommit(ctx context.Context, a Commit) func() error {
-	return func() error {
-		callCtx, stop := context.WithTimeout(ctx, storeTimeout)
-		defer stop()
-		answer, err := d.service.Store.Commit(callCtx, a.Txn)
-		e := committed(answer, err)
-		d.record(a, e, err)
-		d.post(ctx, e)
-		return nil
-	}
-}
-
-func committed(answer ports.TxnResponse, err error) Committed {
-	var fe *fault.Error
-	switch {
-	case err == nil && answer.Succeeded:
-		return Committed{Result: Applied, Revision: answer.Revision}
-	case err == nil:
-		return Committed{Result: Outrun}
-	case errors.As(err, &fe) && fe.Verdict == fault.NotRun:
-		return Committed{Result: Refused}
-	}
-	return Committed{Result: Unknown}
-}
-
-func (d *driver) record(a Commit, e Committed, err error) {
-	s := d.service
-	s.count("ledger_commits_total", d.shard.Index).Inc()
-	for _, op := range a.Txn.Then {
-		if p, ok := op.(ports.Put); ok {
-			s.count("ledger_written_bytes_total", d.shard.Index).Add(len(p.Value))
-		}
-	}
-	if e.Result == Applied {
-		return
-	}
-	s.count("ledger_commits_"+e.Result.String()+"_total", d.shard.Index).Inc()
-	s.Log.WithError(err).WithField("shard", d.shard.Index).
-		WithField("result", e.Result.String()).Debug("ledger commit not applied")
-}
