--- a/ledger/script_test.go
+++ b/ledger/script_test.go
@@ -58,7 +58,7 @@
 
 func newStage(p play) *stage {
 	limits := testLimits()
-	if p.RetentionMS > 0 {
+	if p.RetentionMS != 0 {
 		limits.RetentionMS = p.RetentionMS
 	}
 	m := &store.Memory{}
