--- a/ledger/script_test.go
+++ b/ledger/script_test.go
@@ -58,7 +58,7 @@
 
 func newStage(p play) *stage {
 	limits := testLimits()
-	if p.RetentionMS > 0 {
+	if p.RetentionMS != 0 {
 		limits.RetentionMS = p.RetentionMS
 	}
 	m := &store.Memory{}
@@ -106,6 +106,9 @@
 	case "sleep":
 		time.Sleep(time.Duration(s.MS) * time.Millisecond)
 		synctest.Wait()
+	case "wipe":
+		wipe := ports.Txn{Then: []ports.Op{ports.Delete{Key: ledger.Prefix + "0/", Prefix: true}}}
+		_, _ = g.memory.Commit(context.Background(), wipe)
 	case "parts":
 		return g.parts()
 	default:
