End the ledger's waits with its drivers

Cause: an operation that is repeated in the background waited for a driver that had already ended, and the drivers' end was told only after the repeats had ended: a node that was closed then never ended. Seen as a hang of the safety test under the race detector on a loaded machine, found from the stacks of its goroutines. Change: each driver tells its own end. Measured: TestCloseDuringRepeat deadlocks before and passes after.

--- a/ledger/driver.go
+++ b/ledger/driver.go
@@ -32,6 +32,7 @@
 	flushes []chan struct{}
 	wakeNS  int64
 	wake    <-chan time.Time
+	ended   chan struct{} // Closed once the loop has ended.
 }
 
 // message is an event with the channel for its reply, or a wish to be told
@@ -48,6 +49,7 @@
 		shard:   &Shard{Index: shard, Interval: s.Interval, OpenBytes: s.OpenBytes},
 		inbox:   make(chan message, inboxLength),
 		waiters: make(map[uint64]chan Reply),
+		ended:   make(chan struct{}),
 	}
 }
 
@@ -60,13 +62,13 @@
 	case d.inbox <- message{event: Submitted{ID: id, Op: op, Fresh: fresh}, reply: reply}:
 	case <-ctx.Done():
 		return Answer{}, expiredError(fault.NotRun)
-	case <-d.service.ended:
+	case <-d.ended:
 		return Answer{}, closedError(fault.NotRun)
 	}
 	select {
 	case r := <-reply:
 		return r.unpack()
-	case <-d.service.ended:
+	case <-d.ended:
 		return Answer{}, closedError(fault.MayHaveRun)
 	case <-ctx.Done():
 	}
@@ -78,13 +80,13 @@
 	case d.inbox <- message{event: Expired{ID: id}}:
 	case r := <-reply:
 		return r.unpack()
-	case <-d.service.ended:
+	case <-d.ended:
 		return Answer{}, closedError(fault.MayHaveRun)
 	}
 	select {
 	case r := <-reply:
 		return r.unpack()
-	case <-d.service.ended:
+	case <-d.ended:
 		return Answer{}, closedError(fault.MayHaveRun)
 	}
 }
@@ -107,7 +109,7 @@
 	case d.inbox <- message{idle: idle}:
 	case <-ctx.Done():
 		return fault.From(ctx.Err())
-	case <-d.service.ended:
+	case <-d.ended:
 		return closedError(fault.MayHaveRun)
 	}
 	select {
@@ -115,7 +117,7 @@
 		return nil
 	case <-ctx.Done():
 		return fault.From(ctx.Err())
-	case <-d.service.ended:
+	case <-d.ended:
 		return closedError(fault.MayHaveRun)
 	}
 }
@@ -123,6 +125,7 @@
 // loop returns the function that takes messages until the context ends.
 func (d *driver) loop(ctx context.Context) func() error {
 	return func() error {
+		defer close(d.ended)
 		d.tick(ctx)
 		tick := d.service.Clock.After(tickInterval)
 		for {
