--- a/ledger/driver.go
+++ b/ledger/driver.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
 	"bergamotworks/fault"
-	"bergamotworks/ports"
 )
 
 const (
@@ -34,6 +32,7 @@
 	flushes []chan struct{}
 	wakeNS  int64
 	wake    <-chan time.Time
+	ended   chan struct{} // Closed once the loop has ended.
 }
 
 // message is an event with the channel for its reply, or a wish to be told
@@ -50,6 +49,7 @@
 		shard:   &Shard{Index: shard, Interval: s.Interval, OpenBytes: s.OpenBytes},
 		inbox:   make(chan message, inboxLength),
 		waiters: make(map[uint64]chan Reply),
+		ended:   make(chan struct{}),
 	}
 }
 
@@ -62,13 +62,13 @@
 	case d.inbox <- message{event: Submitted{ID: id, Op: op, Fresh: fresh}, reply: reply}:
 	case <-ctx.Done():
 		return Answer{}, expiredError(fault.NotRun)
-	case <-d.service.ended:
+	case <-d.ended:
 		return Answer{}, closedError(fault.NotRun)
 	}
 	select {
 	case r := <-reply:
 		return r.unpack()
-	case <-d.service.ended:
+	case <-d.ended:
 		return Answer{}, closedError(fault.MayHaveRun)
 	case <-ctx.Done():
 	}
@@ -80,13 +80,13 @@
 	case d.inbox <- message{event: Expired{ID: id}}:
 	case r := <-reply:
 		return r.unpack()
-	case <-d.service.ended:
+	case <-d.ended:
 		return Answer{}, closedError(fault.MayHaveRun)
 	}
 	select {
 	case r := <-reply:
 		return r.unpack()
-	case <-d.service.ended:
+	case <-d.ended:
 		return Answer{}, closedError(fault.MayHaveRun)
 	}
 }
@@ -109,7 +109,7 @@
 	case d.inbox <- message{idle: idle}:
 	case <-ctx.Done():
 		return fault.From(ctx.Err())
-	case <-d.service.ended:
+	case <-d.ended:
 		return closedError(fault.MayHaveRun)
 	}
 	select {
@@ -117,7 +117,7 @@
 		return nil
 	case <-ctx.Done():
 		return fault.From(ctx.Err())
-	case <-d.service.ended:
+	case <-d.ended:
 		return closedError(fault.MayHaveRun)
 	}
 }
@@ -125,6 +125,7 @@
 // loop returns the function that takes messages until the context ends.
 func (d *driver) loop(ctx context.Context) func() error {
 	return func() error {
+		defer close(d.ended)
 		d.tick(ctx)
 		tick := d.service.Clock.After(tickInterval)
 		for {
@@ -211,87 +212,3 @@
 	case <-ctx.Done():
 	}
 }
-
-// runLoad returns the function that reads the keys of a [Load].
-func (d *driver) runLoad(ctx context.Context, a Load) func() error {
-	return func() error {
-		group, readCtx := errgroup.WithContext(ctx)
-		group.SetLimit(maxReadParallel)
-		reads := make([]read, len(a.Keys))
-		for i, k := range a.Keys {
-			reads[i] = read{driver: d, key: k}
-			group.Go(reads[i].runRead(readCtx))
-		}
-		e := Loaded{Err: group.Wait()}
-		for _, r := range reads {
-			e.Entries = append(e.Entries, r.found...)
-		}
-		d.service.count("ledger_loads_total", d.shard.Index).Inc()
-		d.post(ctx, e)
-		return nil
-	}
-}
-
-// read is the reading of one key.
-type read struct {
-	driver *driver
-	key    string
-	found  []ports.KeyValue
-}
-
-// runRead returns the function that reads the key.
-func (r *read) runRead(ctx context.Context) func() error {
-	return func() error {
-		answer, err := r.driver.read(ctx, r.key)
-		r.found = answer.Entries
-		return err
-	}
-}
-
-func (d *driver) read(ctx context.Context, key string) (ports.RangeResponse, error) {
-	ctx, stop := context.WithTimeout(ctx, storeTimeout)
-	defer stop()
-	return d.service.Store.Range(ctx, ports.RangeRequest{Key: key})
-}
-
-// runCommit returns the function that sends the transaction of a [Commit].
-func (d *driver) runCommit(ctx context.Context, a Commit) func() error {
-	return func() error {
-		callCtx, stop := context.WithTimeout(ctx, storeTimeout)
-		defer stop()
-		answer, err := d.service.Store.Commit(callCtx, a.Txn)
-		e := committed(answer, err)
-		d.record(a, e, err)
-		d.post(ctx, e)
-		return nil
-	}
-}
-
-func committed(answer ports.TxnResponse, err error) Committed {
-	var fe *fault.Error
-	switch {
-	case err == nil && answer.Succeeded:
-		return Committed{Result: Applied, Revision: answer.Revision}
-	case err == nil:
-		return Committed{Result: Outrun}
-	case errors.As(err, &fe) && fe.Verdict == fault.NotRun:
-		return Committed{Result: Refused}
-	}
-	return Committed{Result: Unknown}
-}
-
-func (d *driver) record(a Commit, e Committed, err error) {
-	s := d.service
-	s.count("ledger_commits_total", d.shard.Index).Inc()
-	for _, op := range a.Txn.Then {
-		if p, ok := op.(ports.Put); ok {
-			s.count("ledger_written_bytes_total", d.shard.Index).Add(len(p.Value))
-		}
-	}
-	if e.Result == Applied {
-		return
-	}
-	s.count("ledger_commits_"+e.Result.String()+"_total", d.shard.Index).Inc()
-	s.Log.WithError(err).WithField("shard", d.shard.Index).
-		WithField("result", e.Result.String()).Debug("ledger commit not applied")
-}
