Doubt the own VM before any other holds it dead

Cause: random schedules found two faults. A VM that hears nobody but is heard kept its pools, as a VM heard since the probe was never suspected, and did no work in doubt. A VM that was suspected just before it was cut off was declared dead 90 ms before it doubted itself. Change: only a VM that nobody answers spares those it hears; the doubt comes a period before the suspicion time; period 250 instead of 300 ms, 4 periods of suspicion instead of 3.

--- a/member/probe.go
+++ b/member/probe.go
@@ -145,10 +145,11 @@
 	return t.pick(t.settings.IndirectProbes, func(e *entry) bool { return e.State == Alive && e != target })
 }
 
-// unanswered judges a VM that neither answered nor was reached by others. One
-// that was heard meanwhile lives, though it may not hear this VM.
+// unanswered judges a VM that neither answered nor was reached by others. While
+// nobody answers, this VM may be the one that is not heard; it then suspects no
+// VM that it hears.
 func (t *Table) unanswered(e *entry, p *probe) {
-	if e.Heard.After(p.sent) {
+	if t.trust.confirmed.Before(p.sent) && e.Heard.After(p.sent) {
 		return
 	}
 	switch e.State {
--- a/member/settings.go
+++ b/member/settings.go
@@ -9,11 +9,11 @@
 // Settings holds the times and bounds of the protocol. Zero fields have the
 // defaults named here.
 type Settings struct {
-	Period           time.Duration // Time between two probes; 300 ms.
+	Period           time.Duration // Time between two probes; 250 ms.
 	ProbeTimeout     time.Duration // Wait for an answer in the own region; 150 ms.
 	FarProbeTimeout  time.Duration // Wait for an answer from another region; 500 ms.
 	IndirectProbes   int           // VMs asked to probe in one's place; 3.
-	SuspicionPeriods int           // Periods until a suspect is dead, times log10 of the fleet; 3.
+	SuspicionPeriods int           // Periods until a suspect is dead, times log10 of the fleet; 4.
 	SyncEvery        time.Duration // Time between comparisons with a random VM; 10 s.
 	ReconnectEvery   time.Duration // Time between tries to reach a dead or seeded VM; 2 s.
 	JoinTimeout      time.Duration // Wait for an answer from a seed before starting alone; 2 s.
@@ -26,11 +26,11 @@
 }
 
 func (s Settings) withDefaults() Settings {
-	setDefault(&s.Period, 300*time.Millisecond)
+	setDefault(&s.Period, 250*time.Millisecond)
 	setDefault(&s.ProbeTimeout, 150*time.Millisecond)
 	setDefault(&s.FarProbeTimeout, 500*time.Millisecond)
 	setDefault(&s.IndirectProbes, 3)
-	setDefault(&s.SuspicionPeriods, 3)
+	setDefault(&s.SuspicionPeriods, 4)
 	setDefault(&s.SyncEvery, 10*time.Second)
 	setDefault(&s.ReconnectEvery, 2*time.Second)
 	setDefault(&s.JoinTimeout, 2*time.Second)
--- a/member/trust.go
+++ b/member/trust.go
@@ -81,10 +81,11 @@
 	return t.now.Sub(t.trust.confirmed) >= t.doubtTimeout()
 }
 
-// doubtTimeout is shorter than the time in which others declare this VM dead
-// after the last message that they got.
+// doubtTimeout is shorter than the time in which others declare this VM dead,
+// counted from the last confirmation, even if one of them began to suspect it a
+// period earlier.
 func (t *Table) doubtTimeout() time.Duration {
-	return t.settings.suspicionTimeout(t.fleet()) + t.settings.ProbeTimeout
+	return t.settings.suspicionTimeout(t.fleet()) - t.settings.Period
 }
 
 // seekConfirmation probes further VMs when the last probe went unanswered,
