--- a/conf/accept.go
+++ b/conf/accept.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"fmt"
-	"strings"
 	"time"
 
 	"bergamotworks/fault"
@@ -11,10 +9,11 @@
 )
 
 const (
+	// offerTimeout bounds an offer whose caller sets no deadline.
+	offerTimeout    = 8 * time.Second
 	settlePeriod    = 50 * time.Millisecond
 	maxSettlePeriod = time.Second
 	maxOfferTries   = 5
-	maxDifferences  = 20
 )
 
 // Offer checks a release note against the configuration in the store and
@@ -24,9 +23,11 @@
 //
 // A note on another base revision than the present one fails with
 // fault.Conflict and the difference. The verdict is MayHaveRun only if the
-// context ends while the outcome of the swap is open; the same note may be
-// offered again to settle it.
+// context ends, or 8 s pass, while the outcome of the swap is open; the same
+// note may be offered again to settle it.
 func (s *Service) Offer(ctx context.Context, n note.Note) (note.Config, error) {
+	ctx, cancel := context.WithTimeout(ctx, offerTimeout)
+	defer cancel()
 	var behind error
 	for range maxOfferTries {
 		p, i, err := s.present(ctx)
@@ -78,6 +79,8 @@
 
 // CheckNote reports whether a note could be accepted now.
 func (s *Service) CheckNote(ctx context.Context, n note.Note) error {
+	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
+	defer cancel()
 	_, i, err := s.present(ctx)
 	if err != nil {
 		return neverSent(err)
@@ -88,6 +91,8 @@
 
 // History returns the accepted notes, the oldest first.
 func (s *Service) History(ctx context.Context) ([]Entry, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
+	defer cancel()
 	p, err := readHead(ctx, s.Store)
 	if err != nil {
 		return nil, err
@@ -195,60 +200,5 @@
 	return fault.New(fault.DeadlineExceeded, fault.MayHaveRun, "it is not known whether the note was accepted; offer it again")
 }
 
-// lost returns the error of a note that lost the race against another one.
-func (s *Service) lost(ctx context.Context, n note.Note, base *image) error {
-	_, i, err := s.present(ctx)
-	if err != nil {
-		return fault.New(fault.Conflict, fault.NotRun, "another note came first; the present one could not be read: %s", err)
-	}
-	if i.revision() == base.revision() {
-		return fault.New(fault.Conflict, fault.NotRun, "another note came first")
-	}
-	return s.conflict(n, i)
-}
-
-// conflict returns the error for a note on another base than the present
-// configuration, with the difference between the two.
-func (s *Service) conflict(n note.Note, i *image) error {
-	text := fmt.Sprintf("the present revision is %d, by note %s", i.revision(), i.config.NoteID)
-	if base := s.past(n.BaseRevision); base != nil {
-		text += ", which differs in " + summary(note.Diff(base.config, i.config))
-	}
-	return fault.New(fault.Conflict, fault.NotRun, "%s", text).WithField("base_revision")
-}
-
-// Difference lists what has changed between an earlier revision and the one in
-// force. It reports false if the earlier one is no longer known here.
-func (s *Service) Difference(base int64) ([]note.Difference, bool) {
-	earlier := s.past(base)
-	if earlier == nil {
-		return nil, false
-	}
-	return note.Diff(earlier.config, s.Current()), true
-}
-
-func summary(differences []note.Difference) string {
-	var lines []string
-	for _, d := range differences {
-		if len(lines) == maxDifferences {
-			lines = append(lines, fmt.Sprintf("and %d more", len(differences)-maxDifferences))
-			break
-		}
-		lines = append(lines, fmt.Sprintf("%s (%s to %s)", d.Path, shown(d.Before), shown(d.After)))
-	}
-	return strings.Join(lines, ", ")
-}
-
-func shown(value []byte) string {
-	const most = 60
-	switch {
-	case len(value) == 0:
-		return "nothing"
-	case len(value) > most:
-		return string(value[:most]) + "..."
-	}
-	return string(value)
-}
-
 // neverSent returns an error of a step before the head was written.
 func neverSent(err error) error { return fault.From(err).WithVerdict(fault.NotRun) }
--- a/flow/run.go
+++ b/flow/run.go
@@ -31,6 +31,7 @@
 	waiters  map[*waiter]struct{}
 	leftAt   time.Time // Time at which the last waiter left.
 	chunks   []Chunk   // Chunks of the last stage.
+	firstAt  time.Time // Time of the first chunk.
 	bound    bool      // A stage that is not idempotent may have been dispatched.
 	touched  bool      // Some stage has run or may have run.
 	stages   []StageReport
@@ -114,6 +115,11 @@
 	if !ok {
 		return nil, fault.New(fault.NotFound, fault.NotRun, "no pipeline %q", request.Request.Pipeline)
 	}
+	if request.ResumeTokens == 0 {
+		if err := s.refuseHopeless(now, request.Request, pipeline); err != nil {
+			return nil, err
+		}
+	}
 	r := &run{
 		service: s, key: key, request: request.Request, pipeline: pipeline,
 		class: config.Sections.Classes[pipeline.Class], done: make(chan struct{}), started: now,
@@ -212,6 +218,9 @@
 func (r *run) emit(chunk Chunk) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	if len(r.chunks) == 0 {
+		r.firstAt = r.service.Clock.Now()
+	}
 	r.chunks = append(r.chunks, chunk)
 	for w := range r.waiters {
 		r.passLocked(w)
--- a/flow/stage.go
+++ b/flow/stage.go
@@ -149,14 +149,15 @@
 func (g *stageRun) call(name string) owner.StageCall {
 	r := g.run
 	return owner.StageCall{
-		Pool: name,
+		Pool:  name,
+		Limit: r.limit(),
 		Call: pool.Call{
 			Attempt:     uuid.NewString(),
 			Request:     r.request.ID,
 			Account:     r.request.Account,
 			Class:       r.pipeline.Class,
 			Stage:       r.request.Pipeline + "/" + g.stage.Name,
-			Deadline:    r.limit(),
+			Deadline:    g.stageLimit(),
 			Idempotent:  g.stage.Idempotent,
 			MustFinish:  r.class.MustFinish,
 			Prefix:      g.prefix(),
--- a/ledger/shard.go
+++ b/ledger/shard.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"bergamotworks/fault"
 )
 
@@ -13,15 +11,18 @@
 	// DefaultInterval is the least time between two commits of a shard.
 	DefaultInterval = 40 * time.Millisecond
 	// DefaultOpenBytes is the size at which the open part is sealed.
-	DefaultOpenBytes = 32 << 10
+	DefaultOpenBytes = 16 << 10
 	// DefaultQueueLength bounds the operations that wait for a commit.
 	DefaultQueueLength = 4096
 )
 
-// seenPeriod is the time for which a pending record is reported without
-// reading the head again.
+// seenPeriod is the time for which a record is reported pending or absent
+// without reading the head again.
 const seenPeriod = 100 * time.Millisecond
 
+// substituteFactor lengthens the interval of a node that is not the writer.
+const substituteFactor = 2
+
 // Bounds of the waits after a failure of the store.
 const (
 	firstBackoff = 20 * time.Millisecond
@@ -51,7 +52,8 @@
 	now      time.Time // The time of the present step.
 	sentAt   time.Time // The start of the call to the store under way.
 	seenAt   time.Time // A time at which the journal was surely current.
-	due      time.Time
+	due      time.Time // The time of the next commit.
+	retryAt  time.Time // The time of the next call after a failed one.
 	failures int
 	cutoffMS int64
 	actions  []Action
@@ -63,6 +65,7 @@
 	op        Op
 	fresh     bool // The head must be read again first.
 	checked   bool // The head was read after the submission.
+	since     time.Time
 	abandoned bool // The reply has been given; the outcome is still open.
 }
 
@@ -121,7 +124,7 @@
 		s.fail(e.ID, fault.New(fault.Busy, fault.NotRun, "the ledger's queue is full"))
 		return
 	}
-	w := &waiter{id: e.ID, op: e.Op, fresh: e.Fresh}
+	w := &waiter{id: e.ID, op: e.Op, fresh: e.Fresh, since: s.now}
 	if answer, ok := s.answer(w); ok {
 		s.emit(Reply{ID: w.id, Answer: answer})
 		return
@@ -166,92 +169,3 @@
 }
 
 func (s *Shard) fail(id uint64, err *fault.Error) { s.emit(Reply{ID: id, Err: err}) }
-
-// advance starts the next call to the store, if one is needed and allowed.
-func (s *Shard) advance() {
-	if s.busy {
-		return
-	}
-	if !s.needed() {
-		return
-	}
-	if s.now.Before(s.due) {
-		s.emit(Wait{UntilNS: s.due.UnixNano()})
-		return
-	}
-	switch {
-	case s.loading != nil || s.mustLoad():
-		s.load()
-	case s.batch != nil:
-		s.send(Commit{Txn: s.batch.txn})
-	default:
-		s.commit()
-	}
-	if !s.busy && s.mustLoad() {
-		s.load()
-	}
-}
-
-func (s *Shard) load() {
-	if s.loading == nil {
-		s.loading = &loader{startAt: s.now}
-	}
-	s.send(Load{Keys: s.loading.keys(s.Index)})
-}
-
-// send starts a call to the store.
-func (s *Shard) send(action Action) {
-	s.busy = true
-	s.sentAt = s.now
-	s.emit(action)
-}
-
-func (s *Shard) needed() bool {
-	return len(s.queue) > 0 || s.batch != nil || s.loading != nil ||
-		s.cutoffMS != 0 && (!s.journal.loaded || s.journal.droppable(s.cutoffMS) > 0)
-}
-
-func (s *Shard) mustLoad() bool {
-	if !s.journal.loaded || s.stale {
-		return true
-	}
-	if s.batch != nil {
-		return false
-	}
-	for _, w := range s.queue {
-		if w.fresh {
-			return true
-		}
-	}
-	return false
-}
-
-// backOff sets the time of the next attempt after a failed call.
-func (s *Shard) backOff() {
-	wait := min(firstBackoff<<min(s.failures, 10), lastBackoff)
-	s.failures++
-	s.due = s.now.Add(wait)
-}
-
-func (s *Shard) interval() time.Duration {
-	if s.Interval > 0 {
-		return s.Interval
-	}
-	return DefaultInterval
-}
-
-func (s *Shard) openBytes() int {
-	if s.OpenBytes > 0 {
-		return s.OpenBytes
-	}
-	return DefaultOpenBytes
-}
-
-func (s *Shard) queueLength() int {
-	if s.QueueLength > 0 {
-		return s.QueueLength
-	}
-	return DefaultQueueLength
-}
-
-func encodeRecord(r Record) (cbor.RawMessage, error) { return cbor.Marshal(r) }
--- a/node/node.go
+++ b/node/node.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"bergamotworks/admin"
+	"bergamotworks/burn"
 	"bergamotworks/certs"
 	"bergamotworks/conf"
 	"bergamotworks/engine"
@@ -56,6 +57,8 @@
 	owner    *owner.Service
 	flow     *flow.Service
 	orders   *order.Service
+	burns    burn.Recorder
+	changes  changeLog
 	entry    *entry.Server
 	admin    *admin.Server
 	stopping atomic.Bool
@@ -329,7 +332,7 @@
 		KeyTime: ledger.KeyTime, Clock: n.Clock, Random: n.Random, Log: n.logger("entry"), Metrics: n.metrics,
 	}
 	n.admin = &admin.Server{
-		Listener: l.admin, Notes: n.conf, Status: n.status, Lagging: n.lagging, Burn: n.burn, Ledger: n.lookup, Ready: n.Ready,
+		Listener: l.admin, Notes: n.conf, History: n.conf, Orders: n.orders, Status: n.status, Lagging: n.lagging, Burn: n.Burn, Ledger: n.lookup, Ready: n.Ready,
 		Log: n.logger("admin"), Metrics: n.metrics,
 	}
 }
@@ -379,6 +382,8 @@
 
 func (n *Node) configChanged(config note.Config) {
 	n.flow.Configured(config)
+	n.burns.Configure(config.Sections.Objectives)
+	n.changes.add(n.Clock.Now(), config)
 	n.owner.Changed()
 	n.members.SetAttributes(n.attributes())
 }
--- a/target/norm.go
+++ b/target/norm.go
@@ -6,6 +6,8 @@
 	recentGain = 0.1
 	normFall   = 0.2
 	normRise   = 0.005
+
+	slack = float64(20 * time.Millisecond) // Jitter that is no sign of load.
 )
 
 // norm compares the recent mean of a latency with its usual value. The usual
@@ -25,7 +27,7 @@
 	if !n.known() || sample <= 0 {
 		return 1
 	}
-	return float64(sample) / n.usual
+	return float64(sample) / (n.usual + slack)
 }
 
 // excess returns the recent mean over the usual value, 1 while that is not known.
@@ -33,7 +35,7 @@
 	if !n.known() {
 		return 1
 	}
-	return n.recent / n.usual
+	return n.recent / (n.usual + slack)
 }
 
 func (n *norm) add(sample time.Duration) {
@@ -54,6 +56,9 @@
 	n.usual += gain * (n.recent - n.usual)
 }
 
+// accept takes the recent mean for the usual value.
+func (n *norm) accept() { n.usual = n.recent }
+
 // restart forgets the recent mean, after which the usual value still counts.
 func (n *norm) restart() { n.recent = n.usual }
 
