--- /dev/null
+++ b/member/socket.go
@@ -0,0 +1,54 @@
+package member
+
+import (
+	"context"
+	"net"
+	"net/netip"
+)
+
+func (s *Service) send(a Send) {
+	address, err := netip.ParseAddrPort(a.To)
+	if err != nil {
+		s.Log.WithError(err).WithField("address", a.To).Debug("bad gossip address")
+		return
+	}
+	s.counters.sentBytes.Add(len(a.Payload))
+	s.counters.sent.Inc()
+	if _, err := s.conn.WriteTo(a.Payload, net.UDPAddrFromAddrPort(address)); err != nil {
+		s.Log.WithError(err).WithField("address", a.To).Debug("datagram not sent")
+	}
+}
+
+func (s *Service) loopReceive() error {
+	buffer := make([]byte, datagramLimit)
+	for {
+		n, from, err := s.conn.ReadFrom(buffer)
+		if isClosed(err) {
+			return nil
+		}
+		if err != nil {
+			s.Log.WithError(err).Debug("datagram not received")
+			continue
+		}
+		s.counters.receivedBytes.Add(n)
+		s.counters.received.Inc()
+		s.post(Received{From: from.String(), Payload: append([]byte(nil), buffer[:n]...)})
+	}
+}
+
+func (s *Service) loopSeeds(ctx context.Context) error {
+	for s.Seeds != nil {
+		addresses, err := s.Seeds.Addresses(ctx)
+		if err == nil {
+			s.post(Seeded{Addresses: addresses})
+		} else {
+			s.Log.WithError(err).Warn("list of VMs not read")
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-s.Clock.After(seedInterval):
+		}
+	}
+	return nil
+}
