--- a/ledger/advance.go
+++ b/ledger/advance.go
@@ -32,7 +32,7 @@
 	if s.loading == nil {
 		s.loading = &loader{startAt: s.now}
 	}
-	s.send(Load{Keys: s.loading.keys(s.Index)})
+	s.send(Load{Ranges: s.loading.ranges(s.Index)})
 }
 
 // send starts a call to the store.
--- a/ledger/call.go
+++ b/ledger/call.go
@@ -10,14 +10,14 @@
 	"bergamotworks/ports"
 )
 
-// runLoad returns the function that reads the keys of a [Load].
+// runLoad returns the function that makes the calls of a [Load].
 func (d *driver) runLoad(ctx context.Context, a Load) func() error {
 	return func() error {
 		group, readCtx := errgroup.WithContext(ctx)
 		group.SetLimit(maxReadParallel)
-		reads := make([]read, len(a.Keys))
-		for i, k := range a.Keys {
-			reads[i] = read{driver: d, key: k}
+		reads := make([]read, len(a.Ranges))
+		for i, r := range a.Ranges {
+			reads[i] = read{driver: d, request: r}
 			group.Go(reads[i].runRead(readCtx))
 		}
 		e := Loaded{Err: group.Wait()}
@@ -30,26 +30,26 @@
 	}
 }
 
-// read is the reading of one key.
+// read is one call of a [Load].
 type read struct {
-	driver *driver
-	key    string
-	found  []ports.KeyValue
+	driver  *driver
+	request ports.RangeRequest
+	found   []ports.KeyValue
 }
 
-// runRead returns the function that reads the key.
+// runRead returns the function that makes the call.
 func (r *read) runRead(ctx context.Context) func() error {
 	return func() error {
-		answer, err := r.driver.read(ctx, r.key)
+		answer, err := r.driver.read(ctx, r.request)
 		r.found = answer.Entries
 		return err
 	}
 }
 
-func (d *driver) read(ctx context.Context, key string) (ports.RangeResponse, error) {
+func (d *driver) read(ctx context.Context, request ports.RangeRequest) (ports.RangeResponse, error) {
 	ctx, stop := context.WithTimeout(ctx, storeTimeout)
 	defer stop()
-	return d.service.Store.Range(ctx, ports.RangeRequest{Key: key})
+	return d.service.Store.Range(ctx, request)
 }
 
 // runCommit returns the function that sends the transaction of a [Commit].
--- a/ledger/client.go
+++ b/ledger/client.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"bergamotworks/fault"
+	"bergamotworks/ports"
 )
 
 // maxResultBytes bounds a recorded result.
@@ -192,7 +193,7 @@
 
 func (s *Service) readValue(ctx context.Context, key string) ([]byte, error) {
 	d := s.drivers[0]
-	found, err := d.read(ctx, key)
+	found, err := d.read(ctx, ports.RangeRequest{Key: key})
 	if err != nil {
 		return nil, fault.New(fault.Unavailable, fault.Ran, "read a recorded result: %v", err)
 	}
--- a/ledger/driver.go
+++ b/ledger/driver.go
@@ -17,7 +17,7 @@
 	tickInterval = time.Second
 	// inboxLength is the number of events that a driver takes in without waiting.
 	inboxLength = 256
-	// maxReadParallel is the number of keys that a takeover reads at once.
+	// maxReadParallel is the number of calls that a takeover makes at once.
 	maxReadParallel = 16
 )
 
--- a/ledger/event.go
+++ b/ledger/event.go
@@ -73,7 +73,7 @@
 type Action interface{ action() }
 
 // Load asks for the values of some keys. It is answered by [Loaded].
-type Load struct{ Keys []string }
+type Load struct{ Ranges []ports.RangeRequest }
 
 // Commit asks for a transaction. It is answered by [Committed].
 type Commit struct{ Txn ports.Txn }
--- a/ledger/load.go
+++ b/ledger/load.go
@@ -6,8 +6,12 @@
 	"bergamotworks/ports"
 )
 
-// maxLoadParts bounds the parts that are read at once.
-const maxLoadParts = 32
+const (
+	// maxLoadParts bounds the parts that are read at once.
+	maxLoadParts = 160
+	// partsPerRange is the number of parts whose keys differ in the last digit.
+	partsPerRange = 10
+)
 
 // loader reads the head, and then the sealed parts that are not yet known.
 type loader struct {
@@ -19,18 +23,29 @@
 	parts    map[int64][]Record
 }
 
-func (l *loader) keys(shard int) []string {
+// ranges returns what is to be read next. Ten parts are read with one call
+// where their numbers allow it, since the store counts calls.
+func (l *loader) ranges(shard int) []ports.RangeRequest {
 	if l.head == nil {
-		return []string{headKey(shard)}
-	}
-	last := min(l.next+maxLoadParts, l.head.Next)
-	var keys []string
-	for n := l.next; n < last; n++ {
-		keys = append(keys, partKey(shard, n))
+		return []ports.RangeRequest{{Key: headKey(shard)}}
+	}
+	var ranges []ports.RangeRequest
+	for n, end := l.next, l.end(); n < end; {
+		key := partKey(shard, n)
+		if n%partsPerRange == 0 && n+partsPerRange <= end {
+			ranges = append(ranges, ports.RangeRequest{Key: key[:len(key)-1], Prefix: true})
+			n += partsPerRange
+			continue
+		}
+		ranges = append(ranges, ports.RangeRequest{Key: key})
+		n++
 	}
-	return keys
+	return ranges
 }
 
+// end returns the number after the last part that is read next.
+func (l *loader) end() int64 { return min(l.next+maxLoadParts, l.head.Next) }
+
 // loaded takes the values that were read.
 func (s *Shard) loaded(e Loaded) {
 	if s.loading == nil {
@@ -95,8 +110,8 @@
 	for _, e := range entries {
 		values[e.Key] = e.Value
 	}
-	for _, k := range l.keys(s.Index) {
-		value, ok := values[k]
+	for end := l.end(); l.next < end; l.next++ {
+		value, ok := values[partKey(s.Index, l.next)]
 		if !ok {
 			return false
 		}
@@ -105,7 +120,6 @@
 			return false
 		}
 		l.parts[l.next] = records
-		l.next++
 	}
 	return true
 }
--- a/ledger/script_test.go
+++ b/ledger/script_test.go
@@ -36,6 +36,7 @@
 	WithinMS int64        `json:"within_ms"` // Deadline, 10 s if zero.
 	MS       int64        `json:"ms"`
 	Bytes    int          `json:"bytes"` // Length of a large result.
+	Count    int          `json:"count"` // Orders of a fill step.
 	Result   string       `json:"result"`
 	Fault    *store.Fault `json:"fault"`
 	Want     string       `json:"want"`
@@ -117,6 +118,17 @@
 	return ""
 }
 
+// fill creates and completes orders f0, f1 and so on.
+func (g *stage) fill(s step) string {
+	last := ""
+	for i := range s.Count {
+		id := fmt.Sprint("f", i)
+		g.ask(step{Do: "create", Node: s.Node, Claim: id, ID: id})
+		last = g.ask(step{Do: "complete", Node: s.Node, Claim: id, Bytes: s.Bytes})
+	}
+	return last
+}
+
 // told is what a create step reports, and its claim.
 type told struct {
 	text  string
@@ -136,6 +148,8 @@
 	defer stop()
 	node := g.fleet.node(s.Node)
 	switch s.Do {
+	case "fill":
+		return g.fill(s)
 	case "create":
 		if _, ok := g.born[s.ID]; !ok {
 			g.born[s.ID] = time.Now().Add(-time.Duration(s.AgeMS) * time.Millisecond)
--- a/ledger/world_test.go
+++ b/ledger/world_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"maps"
+	"strings"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -207,9 +208,11 @@
 		values = w.before
 	}
 	var e Loaded
-	for _, k := range v.load.Keys {
-		if entry, ok := values[k]; ok {
-			e.Entries = append(e.Entries, entry)
+	for _, r := range v.load.Ranges {
+		for k, entry := range values {
+			if k == r.Key || r.Prefix && strings.HasPrefix(k, r.Key) {
+				e.Entries = append(e.Entries, entry)
+			}
 		}
 	}
 	v.load = nil
