Let three nodes probe the store for the fleet

Change: the three nodes that rank first probe, and every node that knows no other one, is in doubt or cut off. Conclusion: reads no longer grow with the fleet.

--- a/node/node.go
+++ b/node/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -172,7 +173,9 @@
 	for {
 		n.members.SetAttributes(n.attributes())
 		n.learn()
-		n.reach.probe(ctx)
+		if n.probes() {
+			n.reach.probe(ctx)
+		}
 		select {
 		case <-ctx.Done():
 			return nil
@@ -181,6 +184,20 @@
 	}
 }
 
+// maxProbers is the number of nodes that ask the store for a sign of life.
+const maxProbers = 3
+
+// probes reports whether this node asks the store for a sign of life: a few do
+// for the fleet, and every node that knows no other one or has doubts.
+func (n *Node) probes() bool {
+	view := n.members.View()
+	ranked := view.Rank("store/probe", maxProbers)
+	if len(ranked) < 2 || view.Doubt || view.CutOff {
+		return true
+	}
+	return slices.ContainsFunc(ranked, func(m member.VM) bool { return m.ID == n.Settings.VM })
+}
+
 func (n *Node) attributes() member.Attributes {
 	return member.Attributes{
 		Revision:       n.conf.Current().Revision,
