Give a node room for the ledger's writes

Cause: a node that writes both ledger shards makes about 55 commits a second, and the default of 25 store calls for each node would have held it up. Change: the default is 60; only the shards' writers come near it.

--- a/cmds/serve.go
+++ b/cmds/serve.go
@@ -29,7 +29,7 @@
 const (
 	defaultDrainWait  = 5 * time.Second
 	defaultDrainLimit = 60 * time.Second
-	defaultStoreCalls = 25 // Calls per second.
+	defaultStoreCalls = 60 // Calls per second; the writer of two ledger shards needs 55.
 )
 
 func (v *serveSettings) register(flags *flag.FlagSet) {
