Count calls that fall silent together as one failure

Cause: script silent lost a fifth of its requests: every call in flight when connections went silent counted as a failure of its target, three of them made the target cold and kept calls away, and each kept its slot for three times the typical time after its limit had already passed. Change: a silent call keeps its slot for three times the typical time from its start; calls that began before the last counted silence are no further failure.

--- a/target/finish.go
+++ b/target/finish.go
@@ -18,13 +18,32 @@
 	case Crashed:
 		t.crash(now, epoch)
 	case Silent:
-		t.assume(now, t.foreign+1, t.Settings.absent())
-		t.fail(now)
+		t.outlive(now, outcome.Latency)
+		t.hush(now, outcome.Latency)
 	case Canceled:
 		t.giveUp(now, epoch, outcome)
 	}
 }
 
+// outlive assumes that a call which was given up for silence may still run on
+// the target, as long as calls may take there from their start.
+func (t *Target) outlive(now time.Time, elapsed time.Duration) {
+	if left := t.Settings.absent() - elapsed; left > 0 {
+		t.assume(now, t.foreign+1, left)
+	}
+}
+
+// hush counts a silent call as a failure. Calls that were under way when the
+// last one was found silent share its cause, a lost connection: the target is
+// at fault only if a call is silent that began later.
+func (t *Target) hush(now time.Time, elapsed time.Duration) {
+	if now.Add(-elapsed).Before(t.silentAt) {
+		return
+	}
+	t.silentAt = now
+	t.fail(now)
+}
+
 // giveUp takes in that a call had not ended after a time: it would have taken
 // longer. It says nothing if calls usually take longer.
 func (t *Target) giveUp(now time.Time, epoch int, outcome Outcome) {
--- a/target/target.go
+++ b/target/target.go
@@ -65,6 +65,7 @@
 	notBefore  time.Time
 	probing    bool // The target has not answered since it backed off.
 	failures   int
+	silentAt   time.Time // When a silent call was last counted as a failure.
 	lastShrink time.Time
 
 	first   norm // Time to the first token, or latency of a call without tokens.
