Keep the doubt about earlier attempts in a refusal's verdict

Change: a home remembers that the last run of a request ended in doubt; the ledger is asked before a request with a stage that is not idempotent is refused, and a record without a result leaves it in doubt.

--- a/flow/forecast.go
+++ b/flow/forecast.go
@@ -15,8 +15,8 @@
 
 // refuseHopeless refuses a request whose stages together cannot end by its
 // deadline, before any of them has run. The caller holds the mutex.
-func (s *Service) refuseHopeless(now time.Time, request Request, pipeline note.Pipeline) error {
-	total := s.forecast(now, request, pipeline.Class, pipeline.Stages)
+func (s *Service) refuseHopeless(now time.Time, request Request, class string, stages []note.Stage) error {
+	total := s.forecast(now, request, class, stages)
 	missing := total - request.Deadline.Sub(now)
 	if missing <= 0 {
 		return nil
@@ -26,6 +26,13 @@
 	return fault.New(fault.Busy, fault.NotRun, "the stages would take %s, longer than the time left", total).WithRetryAfter(wait)
 }
 
+// checkHopeless is [Service.refuseHopeless] for the stages from the first on.
+func (s *Service) checkHopeless(request Request, pipeline note.Pipeline, first int) error {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.refuseHopeless(s.Clock.Now(), request, pipeline.Class, pipeline.Stages[first:])
+}
+
 // forecast returns the time that stages would take, waiting included. The caller
 // holds the mutex.
 func (s *Service) forecast(now time.Time, request Request, class string, stages []note.Stage) time.Duration {
--- a/flow/guard.go
+++ b/flow/guard.go
@@ -17,16 +17,21 @@
 )
 
 // recorded looks for the result of a stage that is not idempotent. It returns
-// the index of the first stage that has yet to run, and the output before it.
+// the index of the first stage that has yet to run, and the output before it. A
+// record without a result leaves the request in doubt.
 func (r *run) recorded() (int, json.RawMessage) {
-	for i := len(r.pipeline.Stages) - 1; i > 0; i-- {
+	for i := len(r.pipeline.Stages) - 1; i >= 0; i-- {
 		if r.pipeline.Stages[i].Idempotent {
 			continue
 		}
 		ctx, cancel := r.timeLimit()
 		record, err := r.service.Ledger.Lookup(ctx, r.ledgerKey(i))
 		cancel()
-		if err != nil || record.State != ledger.Completed || record.Fingerprint != r.fingerprint() {
+		if err != nil {
+			continue
+		}
+		r.touch()
+		if record.State != ledger.Completed || record.Fingerprint != r.fingerprint() {
 			continue
 		}
 		r.reuse(i)
--- a/flow/run.go
+++ b/flow/run.go
@@ -83,25 +83,19 @@
 func (s *Service) join(request serveRequest) (*run, error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	now := s.Clock.Now()
-	if s.poison.Check(now, request.Request.Fingerprint) == poison.Condemned {
-		return nil, fault.New(fault.Condemned, fault.NotRun, "the request has crashed its targets")
-	}
 	key := joinKey(request.Request)
-	r := s.runs[key]
-	if r != nil && (r.ended.IsZero() || r.err == nil) {
+	before := s.runs[key]
+	if before != nil && (before.ended.IsZero() || before.err == nil) {
 		s.Metrics.GetOrCreateCounter("flow_joined_total").Inc()
-		return r, nil
-	}
-	if r != nil {
-		s.forget(key, r)
+		return before, nil
 	}
-	if len(s.runs)-s.finished >= maxActive {
-		return nil, fault.New(fault.Busy, fault.NotRun, "the node runs %d requests", maxActive).WithRetryAfter(fullWait)
-	}
-	r, err := s.newRun(key, request, now)
+	doubt := before != nil && fault.VerdictOf(before.err) != fault.NotRun
+	r, err := s.newRun(key, request, doubt)
 	if err != nil {
-		return nil, err
+		return nil, inDoubt(err, doubt)
+	}
+	if before != nil {
+		s.forget(key, before)
 	}
 	s.runs[key] = r
 	s.running.Add(1)
@@ -109,14 +103,30 @@
 	return r, nil
 }
 
-func (s *Service) newRun(key string, request serveRequest, now time.Time) (*run, error) {
+// inDoubt keeps the doubt that an earlier run of the same request has left.
+func inDoubt(err error, doubt bool) error {
+	if doubt && fault.VerdictOf(err) == fault.NotRun {
+		return fault.From(err).WithVerdict(fault.MayHaveRun)
+	}
+	return err
+}
+
+func (s *Service) newRun(key string, request serveRequest, doubt bool) (*run, error) {
+	now := s.Clock.Now()
 	config := s.Config()
 	pipeline, ok := config.Sections.Pipelines[request.Request.Pipeline]
 	if !ok {
 		return nil, fault.New(fault.NotFound, fault.NotRun, "no pipeline %q", request.Request.Pipeline)
 	}
-	if request.ResumeTokens == 0 {
-		if err := s.refuseHopeless(now, request.Request, pipeline); err != nil {
+	if s.poison.Check(now, request.Request.Fingerprint) == poison.Condemned {
+		return nil, fault.New(fault.Condemned, fault.NotRun, "the request has crashed its targets")
+	}
+	if len(s.runs)-s.finished >= maxActive {
+		return nil, fault.New(fault.Busy, fault.NotRun, "the node runs %d requests", maxActive).WithRetryAfter(fullWait)
+	}
+	// Of other pipelines the ledger is asked first, see execute.
+	if request.ResumeTokens == 0 && pipeline.Idempotent() {
+		if err := s.refuseHopeless(now, request.Request, pipeline.Class, pipeline.Stages); err != nil {
 			return nil, err
 		}
 	}
@@ -124,7 +134,7 @@
 		service: s, key: key, request: request.Request, pipeline: pipeline,
 		class: config.Sections.Classes[pipeline.Class], done: make(chan struct{}), started: now,
 		deadline: request.Request.Deadline, waiters: make(map[*waiter]struct{}), leftAt: now,
-		resume: request.Resume, resumeTokens: request.ResumeTokens,
+		resume: request.Resume, resumeTokens: request.ResumeTokens, touched: doubt,
 	}
 	r.ctx, r.cancel = context.WithCancel(s.base)
 	return r, nil
@@ -277,6 +287,11 @@
 func (r *run) execute() (json.RawMessage, error) {
 	r.service.countFirst()
 	first, previous := r.recorded()
+	if !r.pipeline.Idempotent() {
+		if err := r.service.checkHopeless(r.request, r.pipeline, first); err != nil {
+			return nil, err
+		}
+	}
 	for i := first; i < len(r.pipeline.Stages); i++ {
 		g := &stageRun{run: r, index: i, stage: r.pipeline.Stages[i], previous: previous}
 		output, err := g.execute()
