Count told waits in full for a second

Cause: forecasts faded a pool's wait from its first moment, so that a wait as long as the deadline never refused a request at the door; the pool then did, after the first stages had run. Change: a wait counts in full for one second and fades over the next.

--- a/route/forecast.go
+++ b/route/forecast.go
@@ -44,11 +44,14 @@
 	return 0
 }
 
+// fullFor is the age up to which a wait counts in full.
+const fullFor = freshFor / 2
+
 // fade returns what is left of a wait some time after it was told.
 func fade(wait, age time.Duration) time.Duration {
-	left := freshFor - age
+	left := min(freshFor-age, freshFor-fullFor)
 	if left <= 0 {
 		return 0
 	}
-	return time.Duration(float64(wait) * float64(left) / float64(freshFor))
+	return time.Duration(float64(wait) * float64(left) / float64(freshFor-fullFor))
 }
