Name two decisions of a target and one of an owner plainly

Cause: the names needed explaining. Change: countSilence, assumeStillRunning, ensurePool. No logic changed. Measured: tests of the packages pass.

--- a/owner/service.go
+++ b/owner/service.go
@@ -160,7 +160,7 @@
 			continue
 		}
 		mine[spec.Name] = true
-		s.adopt(now, spec, config, fresh, view)
+		s.ensurePool(now, spec, config, fresh, view)
 	}
 	lost := s.dropLost(mine)
 	s.mutex.Unlock()
@@ -169,7 +169,9 @@
 	}
 }
 
-func (s *Service) adopt(now time.Time, spec pool.Spec, config note.Config, fresh bool, view member.View) {
+// ensurePool creates a pool that this node has come to own, or puts a fresh
+// configuration in force on one that it keeps.
+func (s *Service) ensurePool(now time.Time, spec pool.Spec, config note.Config, fresh bool, view member.View) {
 	if o := s.pools[spec.Name]; o != nil {
 		if fresh {
 			o.step(now, pool.Configured{Config: config})
--- a/target/finish.go
+++ b/target/finish.go
@@ -18,25 +18,25 @@
 	case Crashed:
 		t.crash(now, epoch)
 	case Silent:
-		t.outlive(now, outcome.Latency)
-		t.hush(now, outcome.Latency)
+		t.assumeStillRunning(now, outcome.Latency)
+		t.countSilence(now, outcome.Latency)
 	case Canceled:
 		t.giveUp(now, epoch, outcome)
 	}
 }
 
-// outlive assumes that a call which was given up for silence may still run on
+// assumeStillRunning assumes that a call which was given up for silence may still run on
 // the target, as long as calls may take there from their start.
-func (t *Target) outlive(now time.Time, elapsed time.Duration) {
+func (t *Target) assumeStillRunning(now time.Time, elapsed time.Duration) {
 	if left := t.Settings.absent() - elapsed; left > 0 {
 		t.assume(now, t.foreign+1, left)
 	}
 }
 
-// hush counts a silent call as a failure. Calls that were under way when the
+// countSilence counts a silent call as a failure. Calls that were under way when the
 // last one was found silent share its cause, a lost connection: the target is
 // at fault only if a call is silent that began later.
-func (t *Target) hush(now time.Time, elapsed time.Duration) {
+func (t *Target) countSilence(now time.Time, elapsed time.Duration) {
 	if now.Add(-elapsed).Before(t.silentAt) {
 		return
 	}
