Use the field's terms in the membership's methods and messages

Cause: hear, tell, Told and Hear were words of their own for receive, broadcast and deliver. Change: renamed. No logic changed. Measured: tests of member and node pass. Conclusion: none.

--- a/member/event.go
+++ b/member/event.go
@@ -18,8 +18,8 @@
 // Changed replaces the attributes of the own VM.
 type Changed struct{ Attributes Attributes }
 
-// Told starts to spread a rumour.
-type Told struct{ Rumor Rumor }
+// Broadcasted asks to spread a rumour.
+type Broadcasted struct{ Rumor Rumor }
 
 // LeaveBegun announces the planned stop of the own VM.
 type LeaveBegun struct{}
@@ -27,13 +27,13 @@
 // LeaveDone announces that the own VM has stopped.
 type LeaveDone struct{}
 
-func (Tick) event()       {}
-func (Received) event()   {}
-func (Seeded) event()     {}
-func (Changed) event()    {}
-func (Told) event()       {}
-func (LeaveBegun) event() {}
-func (LeaveDone) event()  {}
+func (Tick) event()        {}
+func (Received) event()    {}
+func (Seeded) event()      {}
+func (Changed) event()     {}
+func (Broadcasted) event() {}
+func (LeaveBegun) event()  {}
+func (LeaveDone) event()   {}
 
 // Action is something that a [Table] asks its shell to do.
 type Action interface{ action() }
@@ -50,8 +50,8 @@
 	Members bool // The members changed, and not only their attributes.
 }
 
-// Hear hands out a rumour that is new to this VM.
-type Hear struct{ Rumor Rumor }
+// Deliver hands out a rumour that is new to this VM.
+type Deliver struct{ Rumor Rumor }
 
 // Behind says that another VM has a higher configuration revision in force
 // than this VM has heard of before.
@@ -63,4 +63,4 @@
 func (Behind) action()  {}
 func (Send) action()    {}
 func (Publish) action() {}
-func (Hear) action()    {}
+func (Deliver) action() {}
--- a/member/fleet_test.go
+++ b/member/fleet_test.go
@@ -135,7 +135,7 @@
 		}
 	case Behind:
 		adopt(f, n, a)
-	case Hear:
+	case Deliver:
 		n.rumors[a.Rumor.Key] = a.Rumor.Value
 	}
 }
--- a/member/merge.go
+++ b/member/merge.go
@@ -29,9 +29,9 @@
 	for _, d := range m.Deltas {
 		t.learn(r.From, m, d, from)
 	}
-	sender := t.hear(r.From, m)
+	sender := t.updateSender(r.From, m)
 	for _, w := range m.Rumors {
-		t.hearRumor(w)
+		t.receiveRumor(w)
 	}
 	switch m.Kind {
 	case ping:
@@ -48,9 +48,9 @@
 	}
 }
 
-// hear notes that the sender lives and what it says about itself. It returns
+// updateSender notes that the sender lives and what it says about itself. It returns
 // nil for a sender that is not known yet.
-func (t *Table) hear(address string, m message) *entry {
+func (t *Table) updateSender(address string, m message) *entry {
 	t.trust.heard = t.now
 	e := t.members[m.From]
 	if e == nil {
--- a/member/rumor.go
+++ b/member/rumor.go
@@ -16,13 +16,13 @@
 
 func (r wireRumor) key() string { return r.Kind + "/" + strconv.FormatUint(r.Key, 16) }
 
-// tell starts to spread a rumour of the own VM.
-func (t *Table) tell(r Rumor) {
-	t.hearRumor(wireRumor{Kind: r.Kind, Key: r.Key, Value: r.Value, Until: r.Until.UnixMilli()})
+// broadcast starts to spread a rumour of the own VM.
+func (t *Table) broadcast(r Rumor) {
+	t.receiveRumor(wireRumor{Kind: r.Kind, Key: r.Key, Value: r.Value, Until: r.Until.UnixMilli()})
 }
 
-// hearRumor keeps a rumour that is new, hands it out and passes it on.
-func (t *Table) hearRumor(w wireRumor) {
+// receiveRumor keeps a rumour that is new, hands it out and passes it on.
+func (t *Table) receiveRumor(w wireRumor) {
 	if !t.now.Before(w.until()) {
 		return
 	}
@@ -33,7 +33,7 @@
 	t.rumors.keep(w, t.settings.MaxRumors)
 	t.rumors.pending.push(w.key(), w)
 	rumor := Rumor{Kind: w.Kind, Key: w.Key, Value: w.Value, Until: w.until()}
-	t.actions = append(t.actions, Hear{Rumor: rumor})
+	t.actions = append(t.actions, Deliver{Rumor: rumor})
 }
 
 // keep adds a rumour and drops the oldest one when the table is full.
--- a/member/service.go
+++ b/member/service.go
@@ -133,7 +133,7 @@
 func (s *Service) SetAttributes(attributes Attributes) { s.post(Changed{Attributes: attributes}) }
 
 // Broadcast spreads a rumour to every VM.
-func (s *Service) Broadcast(rumor Rumor) { s.post(Told{Rumor: rumor}) }
+func (s *Service) Broadcast(rumor Rumor) { s.post(Broadcasted{Rumor: rumor}) }
 
 // Subscribe has the function called with each view whose members, states,
 // readiness or doubts changed, one call at a time.
@@ -240,7 +240,7 @@
 		if s.Revisions != nil {
 			s.Revisions(a.VM, a.Revision)
 		}
-	case Hear:
+	case Deliver:
 		if s.Rumors != nil {
 			s.Rumors(a.Rumor)
 		}
--- a/member/table.go
+++ b/member/table.go
@@ -54,8 +54,8 @@
 		t.contacts.seeds = slices.Clone(e.Addresses)
 	case Changed:
 		t.change(e.Attributes)
-	case Told:
-		t.tell(e.Rumor)
+	case Broadcasted:
+		t.broadcast(e.Rumor)
 	case LeaveBegun:
 		t.leave(Leaving)
 	case LeaveDone:
--- a/member/table_test.go
+++ b/member/table_test.go
@@ -108,7 +108,7 @@
 	case "unready":
 		f.step(n, Changed{Attributes: Attributes{StoreReachable: true}})
 	case "tell":
-		f.step(n, Told{Rumor: Rumor{Kind: "poison", Key: step.Key, Value: step.Value, Until: f.now.Add(time.Minute)}})
+		f.step(n, Broadcasted{Rumor: Rumor{Kind: "poison", Key: step.Key, Value: step.Value, Until: f.now.Add(time.Minute)}})
 	case "cut":
 		for _, to := range f.expand(step.To) {
 			f.cut(n.id, to)
--- a/node/assemble.go
+++ b/node/assemble.go
@@ -84,7 +84,7 @@
 			Domain: n.Settings.Domain, Region: n.Settings.Region,
 		},
 		Seeds: member.SeedList(n.Settings.Seeds), Network: n.Network, Clock: n.Clock, Random: n.Random,
-		Log: n.logger("member"), Metrics: n.metrics, Rumors: n.hearRumor,
+		Log: n.logger("member"), Metrics: n.metrics, Rumors: n.receiveRumor,
 	}
 }
 
--- a/node/follow.go
+++ b/node/follow.go
@@ -49,7 +49,7 @@
 	})
 }
 
-func (n *Node) hearRumor(rumor member.Rumor) {
+func (n *Node) receiveRumor(rumor member.Rumor) {
 	if rumor.Kind == rumorCrash {
 		n.flow.ObserveCrashes(rumor.Key, int(rumor.Value), rumor.Until)
 	}
