--- a/node/bench_test.go
+++ b/node/bench_test.go
@@ -67,3 +67,42 @@
 	}
 	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
 }
+
+// BenchmarkTakeover ends the node that owns the only pool of a fleet of 8 at
+// once, and measures until a request that came at that moment is answered.
+func BenchmarkTakeover(b *testing.B) {
+	for range b.N {
+		b.StopTimer()
+		f := newFleet(b, 8)
+		post(b, f.nodes[0].Address(), "lookup", "", "warm")
+		owner, _ := f.nodes[0].members.View().Owner("plain/north/0")
+		rest := f.others(owner.ID)
+		_ = f.find(owner.ID).Close()
+		b.StartTimer()
+		status, body := post(b, rest[0].Address(), "lookup", "", "after")
+		b.StopTimer()
+		if status != 200 {
+			b.Errorf("status %d: %s", status, body)
+		}
+		b.StartTimer()
+	}
+}
+
+func (f *fleet) find(vm string) *Node {
+	for _, n := range f.nodes {
+		if n.Settings.VM == vm {
+			return n
+		}
+	}
+	return nil
+}
+
+func (f *fleet) others(vm string) []*Node {
+	var rest []*Node
+	for _, n := range f.nodes {
+		if n.Settings.VM != vm {
+			rest = append(rest, n)
+		}
+	}
+	return rest
+}
