Close the doors of a node before waiting for its work

Cause: requests on kept connections could enter a server while its end waited for those under way, which the race detector reported as an addition to a wait group beside its wait; work that had entered then ran on a closed node. Change: package gate: after it is closed nothing enters, and the close waits. Entry, flow and owner use it; what comes later is refused "not run" and homes try another node.

--- a/entry/server.go
+++ b/entry/server.go
@@ -17,6 +17,7 @@
 
 	"bergamotworks/fault"
 	"bergamotworks/flow"
+	"bergamotworks/gate"
 	"bergamotworks/note"
 	"bergamotworks/ports"
 )
@@ -50,7 +51,7 @@
 	base    context.Context
 	cancel  context.CancelFunc
 	running sync.WaitGroup
-	active  sync.WaitGroup // Requests between acceptance and answer.
+	active  gate.Gate // Requests between acceptance and answer.
 }
 
 const (
@@ -104,7 +105,7 @@
 // Close ends the server and waits for its goroutines.
 func (s *Server) Close() error {
 	s.stop()
-	s.active.Wait()
+	s.active.Close()
 	s.running.Wait()
 	return nil
 }
@@ -129,8 +130,12 @@
 }
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
-	s.active.Add(1)
-	defer s.active.Done()
+	if !s.active.Enter() {
+		ctx.SetConnectionClose()
+		s.refuse(ctx, "", fault.New(fault.Unavailable, fault.NotRun, "the node has stopped"))
+		return
+	}
+	defer s.active.Leave()
 	path := string(ctx.Path())
 	switch {
 	case path == "/healthz":
--- a/flow/home.go
+++ b/flow/home.go
@@ -40,8 +40,10 @@
 // in order, before Serve returns.
 func (s *Service) Serve(ctx context.Context, request Request, onChunk func(Chunk)) (Answer, error) {
 	s.once.Do(s.init)
-	s.running.Add(1)
-	defer s.running.Done()
+	if !s.running.Enter() {
+		return Answer{}, errClosed()
+	}
+	defer s.running.Leave()
 	t := &relay{service: s, request: serveRequest{Request: request}, onChunk: onChunk}
 	return t.run(ctx)
 }
@@ -49,6 +51,10 @@
 // HandleServe serves [MethodServe].
 func (s *Service) HandleServe(ctx context.Context, incoming peer.Incoming) (any, error) {
 	s.once.Do(s.init)
+	if !s.running.Enter() {
+		return nil, errClosed()
+	}
+	defer s.running.Leave()
 	var request serveRequest
 	if err := json.Unmarshal(incoming.Params, &request); err != nil {
 		return nil, fault.BadField("params", "%s", err)
@@ -61,6 +67,11 @@
 	return serveAnswer{Answer: answer, Fault: fault.From(err)}, nil
 }
 
+// errClosed refuses work that reaches a node which has stopped.
+func errClosed() *fault.Error {
+	return fault.New(fault.Unavailable, fault.NotRun, "the node has stopped")
+}
+
 // relay passes a request to its home and the answer back. If a home is lost it
 // tries the next one: stages that are idempotent may repeat, and the ledger
 // guards the others.
--- a/flow/service.go
+++ b/flow/service.go
@@ -10,6 +10,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/sirupsen/logrus"
 
+	"bergamotworks/gate"
 	"bergamotworks/ledger"
 	"bergamotworks/member"
 	"bergamotworks/note"
@@ -61,7 +62,7 @@
 	once     sync.Once
 	base     context.Context
 	stop     context.CancelFunc
-	running  sync.WaitGroup
+	running  gate.Gate
 	mutex    sync.Mutex // Guards the fields below.
 	runs     map[string]*run
 	finished int // Runs that are kept for repeats.
@@ -123,7 +124,7 @@
 func (s *Service) Close() error {
 	s.once.Do(s.init)
 	s.stop()
-	s.running.Wait()
+	s.running.Close()
 	return nil
 }
 
--- /dev/null
+++ b/gate/gate.go
@@ -0,0 +1,57 @@
+// Package gate counts work in progress and ends it in order: after the gate is
+// closed no new work begins, and Close waits for what is under way.
+package gate
+
+import "sync"
+
+// Gate is the entrance to a part that is closed while work may still arrive.
+// The zero value is open.
+type Gate struct {
+	mutex  sync.Mutex
+	empty  sync.Cond
+	count  int
+	closed bool
+}
+
+// Enter begins work and reports true, or reports false if the gate is closed.
+// Work that has begun ends with [Gate.Leave].
+func (g *Gate) Enter() bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if g.closed {
+		return false
+	}
+	g.count++
+	return true
+}
+
+// Hold begins more work on behalf of work that is under way. It is allowed
+// after the gate has been closed.
+func (g *Gate) Hold() {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.count++
+}
+
+// Leave ends work.
+func (g *Gate) Leave() {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.count--
+	if g.count == 0 && g.empty.L != nil {
+		g.empty.Broadcast()
+	}
+}
+
+// Close closes the gate and waits until no work is under way.
+func (g *Gate) Close() {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.closed = true
+	if g.empty.L == nil {
+		g.empty.L = &g.mutex
+	}
+	for g.count > 0 {
+		g.empty.Wait()
+	}
+}
--- a/owner/execute.go
+++ b/owner/execute.go
@@ -31,8 +31,10 @@
 // owns. Chunks arrive in order, before Execute returns.
 func (s *Service) Execute(ctx context.Context, call StageCall, onChunk func(Chunk)) StageAnswer {
 	s.once.Do(s.init)
-	s.running.Add(1)
-	defer s.running.Done()
+	if !s.running.Enter() {
+		return StageAnswer{Fault: fault.New(fault.Unavailable, fault.NotRun, "VM %s has stopped", s.Self)}
+	}
+	defer s.running.Leave()
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
 	o := s.find(call.Pool)
--- a/owner/service.go
+++ b/owner/service.go
@@ -13,6 +13,7 @@
 
 	"bergamotworks/engine"
 	"bergamotworks/fault"
+	"bergamotworks/gate"
 	"bergamotworks/member"
 	"bergamotworks/note"
 	"bergamotworks/pool"
@@ -50,7 +51,7 @@
 	config   note.Config
 	changed  chan struct{} // Holds one signal at most.
 	once     sync.Once
-	running  sync.WaitGroup
+	running  gate.Gate
 	inFlight atomic.Int64
 	stopping context.CancelFunc
 	base     context.Context
@@ -86,7 +87,7 @@
 func (s *Service) Close() error {
 	s.once.Do(s.init)
 	s.stopping()
-	s.running.Wait()
+	s.running.Close()
 	return nil
 }
 
