Collect a node's garbage less often

Cause: at 9,000 lookups a second from 64 callers the tail through a node was 10.9 and 16.7 ms at p99; a node's heap is small, so collections were frequent. Change: the serve command sets GOGC to 400 and a soft limit of 200 MiB unless the environment does.

--- a/cmds/serve.go
+++ b/cmds/serve.go
@@ -5,6 +5,8 @@
 	"errors"
 	"flag"
 	"net/netip"
+	"os"
+	"runtime/debug"
 	"strings"
 	"time"
 
@@ -116,11 +118,28 @@
 			if err != nil {
 				return err
 			}
+			tuneMemory()
 			return serve(ctx, settings, addresses, log)
 		},
 	})
 }
 
+const (
+	gcPercent   = 400       // Growth of the heap between two collections, in per cent.
+	memoryLimit = 200 << 20 // Bytes from which collections come more often.
+)
+
+// tuneMemory lets the heap of a node, which is small, grow further between two
+// collections. The variables GOGC and GOMEMLIMIT go first.
+func tuneMemory() {
+	if os.Getenv("GOGC") == "" {
+		debug.SetGCPercent(gcPercent)
+	}
+	if os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(memoryLimit)
+	}
+}
+
 // serve runs a node until the context ends, then stops it in order.
 func serve(ctx context.Context, settings node.Settings, stores []string, log *logrus.Logger) error {
 	n := &node.Node{
--- a/node/load_bench_test.go
+++ b/node/load_bench_test.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	halfLoad    = 9000 // Requests per second, half of what BenchmarkLookup reaches on ten cores.
+	halfLoad    = 9000 // Requests per second.
 	loadWorkers = 64
 )
 
