Count an owner's calls once and drop what nothing uses

Cause: a read of the whole change: the gate counts the calls under way and owner counted them again beside it; Summaries and the status field admin were never used. Change: the drain asks the gate; the two are removed. Behaviour is unchanged. Measured: tests of owner and gate pass under the race detector.

--- a/admin/server.go
+++ b/admin/server.go
@@ -73,7 +73,6 @@
 	Incarnation uint64 `json:"incarnation"`
 	Revision    int64  `json:"revision"`
 	Ready       bool   `json:"ready"`
-	Admin       string `json:"admin,omitempty"`
 }
 
 // DomainStatus is a failure domain of the configuration.
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -43,6 +43,13 @@
 	}
 }
 
+// Active returns the amount of work under way.
+func (g *Gate) Active() int {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.count
+}
+
 // Close closes the gate and waits until no work is under way.
 func (g *Gate) Close() {
 	g.mutex.Lock()
--- a/owner/execute.go
+++ b/owner/execute.go
@@ -35,8 +35,6 @@
 		return StageAnswer{Fault: fault.New(fault.Unavailable, fault.NotRun, "VM %s has stopped", s.Self)}
 	}
 	defer s.running.Leave()
-	s.inFlight.Add(1)
-	defer s.inFlight.Add(-1)
 	o := s.find(call.Pool)
 	if o == nil {
 		return StageAnswer{Fault: fault.New(fault.Busy, fault.NotRun, "VM %s does not own pool %s", s.Self, call.Pool)}
--- a/owner/service.go
+++ b/owner/service.go
@@ -4,7 +4,6 @@
 	"context"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -52,7 +51,6 @@
 	changed  chan struct{} // Holds one signal at most.
 	once     sync.Once
 	running  gate.Gate
-	inFlight atomic.Int64
 	stopping context.CancelFunc
 	base     context.Context
 }
@@ -256,7 +254,7 @@
 
 // Drain waits until no call is in flight, or until the context ends.
 func (s *Service) Drain(ctx context.Context) error {
-	for s.inFlight.Load() > 0 {
+	for s.running.Active() > 0 {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -293,14 +291,3 @@
 	}
 	return false
 }
-
-// Summaries returns the state of every pool that this node owns.
-func (s *Service) Summaries() []pool.Summary {
-	s.once.Do(s.init)
-	now := s.Clock.Now()
-	var summaries []pool.Summary
-	for _, o := range s.list() {
-		summaries = append(summaries, o.summary(now))
-	}
-	return summaries
-}
