Answer only keyed repeats from a kept run

Cause: a read of the whole change: docs/CALLERS.md says that a repeat without a key joins only while the run is in progress, but the home also answered it from a run that had ended within ten seconds, a stock lookup with an old stock. Change: a kept answer serves only requests with an idempotency key. Measured: the script repeat_without_key_after_end_runs_again fails before and passes after; the scripts of flow pass three times under the race detector.

--- a/flow/run.go
+++ b/flow/run.go
@@ -85,11 +85,11 @@
 	defer s.mutex.Unlock()
 	key := joinKey(request.Request)
 	before := s.runs[key]
-	if before != nil && (before.ended.IsZero() || before.err == nil) {
+	if before != nil && before.answers(request.Request) {
 		s.Metrics.GetOrCreateCounter("flow_joined_total").Inc()
 		return before, nil
 	}
-	doubt := before != nil && fault.VerdictOf(before.err) != fault.NotRun
+	doubt := before != nil && before.err != nil && fault.VerdictOf(before.err) != fault.NotRun
 	r, err := s.newRun(key, request, doubt)
 	if err != nil {
 		return nil, inDoubt(err, doubt)
@@ -103,6 +103,16 @@
 	return r, nil
 }
 
+// answers reports whether a run serves a request that names it: one in progress
+// serves every one, an answer that is kept only those with an idempotency key.
+// The caller holds the service's mutex.
+func (r *run) answers(request Request) bool {
+	if r.ended.IsZero() {
+		return true
+	}
+	return r.err == nil && request.Key != ""
+}
+
 // inDoubt keeps the doubt that an earlier run of the same request has left.
 func inDoubt(err error, doubt bool) error {
 	if doubt && fault.VerdictOf(err) == fault.NotRun {
