Hand lost pools over side by side

Change: both use one method that hands over in parallel. Measured: the scripts of owner pass five times under the race detector.

--- a/owner/service.go
+++ b/owner/service.go
@@ -163,9 +163,7 @@
 	}
 	lost := s.dropLost(mine)
 	s.mutex.Unlock()
-	for _, o := range lost {
-		s.retire(o)
-	}
+	s.retireAll(lost)
 }
 
 // ensurePool creates a pool that this node has come to own, or puts a fresh
@@ -242,8 +240,14 @@
 	s.mutex.Lock()
 	s.leaving = true
 	s.mutex.Unlock()
-	group := errgroup.Group{}
-	for _, o := range s.list() {
+	s.retireAll(s.list())
+}
+
+// retireAll retires pools side by side, since a successor that does not answer
+// takes as long as handoverTimeout.
+func (s *Service) retireAll(pools []*owned) {
+	var group errgroup.Group
+	for _, o := range pools {
 		group.Go(func() error {
 			s.retire(o)
 			return nil
