--- /dev/null
+++ b/batch/service.go
@@ -0,0 +1,301 @@
+package batch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/sirupsen/logrus"
+
+	"bergamotworks/fault"
+	"bergamotworks/member"
+	"bergamotworks/ports"
+	"bergamotworks/site"
+)
+
+// The methods that nodes call on each other.
+const (
+	MethodSubmit  = "batch.submit"
+	MethodRelease = "batch.release"
+)
+
+const (
+	tickInterval   = 50 * time.Millisecond
+	resubmitWait   = 100 * time.Millisecond // Pause before work goes to the owner again.
+	releaseTimeout = 500 * time.Millisecond
+	callSlack      = 2 * time.Second // Time that a call may take beyond the usual.
+	ownerPrefix    = "batch/"
+)
+
+// Caller calls methods of other nodes.
+type Caller interface {
+	Call(ctx context.Context, vm, method string, params, result any) error
+}
+
+// Service gathers pieces. The exported fields are set before [Service.Run].
+type Service struct {
+	Self      string
+	Config    func() site.Config
+	Directory func() site.Directory
+	View      func() member.View
+	Runner    Runner
+	Peers     Caller
+	Clock     ports.Clock
+	Log       *logrus.Entry
+	Metrics   *metrics.Set
+
+	mutex   sync.Mutex
+	tables  map[string]*gathered
+	leaving bool
+	running sync.WaitGroup
+	base    context.Context
+	stop    context.CancelFunc
+	once    sync.Once
+}
+
+// gathered is the table of one service with those who wait for its groups.
+type gathered struct {
+	name     string
+	table    Table
+	revision int64
+	waiters  map[uint64]chan Done
+}
+
+// submission is [Work] as it travels between nodes; clocks differ, so times
+// are told as what is left.
+type submission struct {
+	Work
+	TargetLeft   time.Duration `json:"target_left_ns"`
+	DeadlineLeft time.Duration `json:"deadline_left_ns"`
+}
+
+type handles struct {
+	Service string   `json:"service,omitempty"`
+	Handles []string `json:"handles"`
+}
+
+func (s *Service) init() {
+	s.tables = make(map[string]*gathered)
+	s.base, s.stop = context.WithCancel(context.Background())
+}
+
+// Run drops overdue work until the context ends.
+func (s *Service) Run(ctx context.Context) error {
+	s.once.Do(s.init)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-s.Clock.After(tickInterval):
+			s.tick()
+		}
+	}
+}
+
+// Close ends the calls in progress and waits for them.
+func (s *Service) Close() error {
+	s.once.Do(s.init)
+	s.stop()
+	s.running.Wait()
+	return nil
+}
+
+// Leave hands the waiting work back, so that it goes to the next owners.
+func (s *Service) Leave() {
+	s.once.Do(s.init)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.leaving = true
+	for _, g := range s.tables {
+		g.table.Abandon()
+		s.perform(g)
+	}
+}
+
+// Do has the pieces of a stage made by whichever VM gathers for the service,
+// and returns their handles in order.
+func (s *Service) Do(ctx context.Context, w Work) ([]string, error) {
+	s.once.Do(s.init)
+	for {
+		made, err := s.submitOnce(ctx, w)
+		if err == nil || !passing(err) {
+			return made, err
+		}
+		s.Log.WithFields(logrus.Fields{"request": w.Request, "service": w.Service, "error": err.Error()}).Info("pieces go to the owner again")
+		select {
+		case <-ctx.Done():
+			return nil, fault.New(fault.DeadlineExceeded, fault.NotRun, "%s: %s", w.Service, err)
+		case <-s.Clock.After(resubmitWait):
+		}
+	}
+}
+
+// passing reports whether an error is about the way to the owner and not about
+// the work.
+func passing(err error) bool {
+	switch fault.From(err).Kind {
+	case fault.Unavailable, fault.ConnectionLost, fault.Conflict:
+		return true
+	}
+	return false
+}
+
+func (s *Service) submitOnce(ctx context.Context, w Work) ([]string, error) {
+	vm, ok := s.View().Owner(ownerPrefix + w.Service)
+	if !ok || vm.ID == s.Self {
+		return s.gather(ctx, w)
+	}
+	now := s.Clock.Now()
+	params := submission{Work: w, TargetLeft: w.Target.Sub(now), DeadlineLeft: w.Deadline.Sub(now)}
+	var answer handles
+	if err := s.Peers.Call(ctx, vm.ID, MethodSubmit, params, &answer); err != nil {
+		return nil, err
+	}
+	return answer.Handles, nil
+}
+
+// HandleSubmit gathers work of another node.
+func (s *Service) HandleSubmit(ctx context.Context, p submission) (handles, error) {
+	s.once.Do(s.init)
+	now := s.Clock.Now()
+	p.Target = now.Add(p.TargetLeft)
+	p.Deadline = now.Add(p.DeadlineLeft)
+	made, err := s.gather(ctx, p.Work)
+	return handles{Handles: made}, err
+}
+
+// gather enters work into the own table and waits for its results.
+func (s *Service) gather(ctx context.Context, w Work) ([]string, error) {
+	g, id, wait, err := s.enter(w)
+	if err != nil {
+		return nil, err
+	}
+	select {
+	case d := <-wait:
+		return d.Handles, d.Err
+	case <-ctx.Done():
+		s.cancel(g, id)
+		return nil, fault.New(fault.Canceled, fault.NotRun, "nobody waits for pieces of %s", w.Service)
+	}
+}
+
+func (s *Service) enter(w Work) (*gathered, uint64, chan Done, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.leaving {
+		return nil, 0, nil, fault.New(fault.Conflict, fault.NotRun, "this VM is leaving")
+	}
+	g, err := s.gatheredFor(w.Service)
+	if err != nil {
+		return nil, 0, nil, err
+	}
+	s.refresh(g)
+	id, err := g.table.Submit(s.Clock.Now(), w)
+	if err != nil {
+		s.perform(g)
+		return nil, 0, nil, err
+	}
+	wait := make(chan Done, 1)
+	g.waiters[id] = wait
+	s.perform(g)
+	return g, id, wait, nil
+}
+
+func (s *Service) gatheredFor(name string) (*gathered, error) {
+	if g := s.tables[name]; g != nil {
+		return g, nil
+	}
+	service, ok := s.Config().Service(name)
+	if !ok || service.Batch == nil {
+		return nil, fault.New(fault.NotFound, fault.NotRun, "service %s takes no pieces", name)
+	}
+	g := &gathered{name: name, table: Table{Limits: *service.Batch}, waiters: make(map[uint64]chan Done)}
+	s.tables[name] = g
+	s.Log.WithField("service", name).Info("gathering pieces begins")
+	return g, nil
+}
+
+// refresh brings the targets and limits up to date.
+func (s *Service) refresh(g *gathered) {
+	d := s.Directory()
+	if d.Revision == g.revision {
+		return
+	}
+	g.revision = d.Revision
+	if service, ok := s.Config().Service(g.name); ok && service.Batch != nil {
+		g.table.Limits = *service.Batch
+	}
+	g.table.SetTargets(s.Clock.Now(), d.Usable(g.name))
+}
+
+func (s *Service) cancel(g *gathered, id uint64) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	delete(g.waiters, id)
+	g.table.Cancel(s.Clock.Now(), id)
+	s.perform(g)
+}
+
+func (s *Service) tick() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	now := s.Clock.Now()
+	for _, g := range s.tables {
+		s.refresh(g)
+		if vm, ok := s.View().Owner(ownerPrefix + g.name); ok && vm.ID != s.Self && len(g.waiters) > 0 {
+			g.table.Abandon()
+		}
+		g.table.Tick(now)
+		s.perform(g)
+	}
+}
+
+// Release gives up results of a service that have been read.
+func (s *Service) Release(service string, list []string) {
+	if len(list) == 0 {
+		return
+	}
+	s.once.Do(s.init)
+	vm, ok := s.View().Owner(ownerPrefix + service)
+	if !ok || vm.ID == s.Self {
+		s.release(service, list)
+		return
+	}
+	s.running.Add(1)
+	r := releasing{service: s, vm: vm.ID, params: handles{Service: service, Handles: list}}
+	go r.run()
+}
+
+// HandleRelease gives up results on behalf of another node.
+func (s *Service) HandleRelease(_ context.Context, p handles) (struct{}, error) {
+	s.once.Do(s.init)
+	s.release(p.Service, p.Handles)
+	return struct{}{}, nil
+}
+
+func (s *Service) release(service string, list []string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if g := s.tables[service]; g != nil {
+		g.table.Release(s.Clock.Now(), list)
+		s.perform(g)
+	}
+}
+
+// releasing tells the owner of a service that results have been read.
+type releasing struct {
+	service *Service
+	vm      string
+	params  handles
+}
+
+func (r releasing) run() {
+	defer r.service.running.Done()
+	ctx, cancel := context.WithTimeout(r.service.base, releaseTimeout)
+	defer cancel()
+	var answer struct{}
+	if err := r.service.Peers.Call(ctx, r.vm, MethodRelease, r.params, &answer); err != nil {
+		r.service.Log.WithFields(logrus.Fields{"peer": r.vm, "service": r.params.Service, "handles": len(r.params.Handles), "error": err.Error()}).Warn("results are kept until they expire")
+	}
+}
--- /dev/null
+++ b/batch/table.go
@@ -0,0 +1,246 @@
+package batch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"bergamotworks/fault"
+	"bergamotworks/site"
+)
+
+const (
+	// domainWait is how long a piece with a large result waits for a target in
+	// the failure domain where the result is read.
+	domainWait = 150 * time.Millisecond
+	// largeResult is the size in bytes from which a result is kept in its
+	// failure domain.
+	largeResult = 256 << 10
+	// restTime is how long a target takes no calls after one failed.
+	restTime = 500 * time.Millisecond
+	// fullTime is how long a target takes no calls after it had no room.
+	fullTime = 100 * time.Millisecond
+	// maxTries bounds the calls in which one piece takes part.
+	maxTries = 3
+)
+
+// Table gathers the pieces of one service. It is not safe for concurrent use.
+type Table struct {
+	Limits site.Batch
+
+	groups  map[uint64]*group
+	waiting []*piece // In the order in which they are sent.
+	workers map[string]*worker
+	nextID  uint64
+	nextRun uint64
+	actions []Action
+}
+
+// group is the work of one stage of one request.
+type group struct {
+	id      uint64
+	work    Work
+	since   time.Time
+	handles []string
+	left    int
+	sent    bool // A piece has been sent.
+}
+
+// piece is one piece of a group.
+type piece struct {
+	group *group
+	index int
+	tries int
+}
+
+// Action is something that a [Table] asks its shell to do.
+type Action interface{ action() }
+
+// Start asks for a call.
+type Start struct {
+	Run    uint64
+	Target site.Target
+	Pieces []Piece
+}
+
+// Done hands the results of a group to whoever waits for them.
+type Done struct {
+	Group   uint64
+	Handles []string
+	Err     error
+}
+
+// Free asks to give up results at a target.
+type Free struct {
+	Target  site.Target
+	Handles []string
+}
+
+// Measure asks for the free memory of a target that is new to the table.
+type Measure struct{ Target site.Target }
+
+func (Start) action()   {}
+func (Done) action()    {}
+func (Free) action()    {}
+func (Measure) action() {}
+
+// Submit enters work and returns its number. Work that cannot end before its
+// deadline is refused.
+func (t *Table) Submit(now time.Time, w Work) (uint64, error) {
+	if wait, ok := t.forecast(w); !ok || now.Add(wait).After(w.Deadline) {
+		return 0, fault.New(fault.Busy, fault.NotRun, "%s needs %s for %d pieces", w.Service, wait, w.Pieces).WithRetryAfter(wait)
+	}
+	t.nextID++
+	g := &group{id: t.nextID, work: w, since: now, handles: make([]string, w.Pieces), left: w.Pieces}
+	if t.groups == nil {
+		t.groups = make(map[uint64]*group)
+	}
+	t.groups[g.id] = g
+	for i := range w.Pieces {
+		t.enqueue(&piece{group: g, index: i})
+	}
+	t.dispatch(now)
+	return g.id, nil
+}
+
+// unknownWait is the forecast for a service without targets.
+const unknownWait = time.Second
+
+// forecast returns the time that new work takes under the present load, and
+// whether there is a target for it.
+func (t *Table) forecast(w Work) (time.Duration, bool) {
+	usable := 0
+	for _, k := range t.workers {
+		if k.usable {
+			usable++
+		}
+	}
+	if usable == 0 {
+		return unknownWait, false
+	}
+	ahead := 0
+	for _, p := range t.waiting {
+		if t.before(p.group, w) {
+			ahead++
+		}
+	}
+	size := max(t.Limits.Size, 1)
+	full := t.Limits.CallTime + time.Duration(size)*t.Limits.PieceTime
+	rounds := ahead / (size * usable * max(t.Limits.Slots, 1))
+	last := t.Limits.CallTime + time.Duration(min(w.Pieces, size))*t.Limits.PieceTime
+	return time.Duration(rounds)*full + last, true
+}
+
+func (t *Table) before(g *group, w Work) bool { return !g.work.Target.After(w.Target) }
+
+func (t *Table) enqueue(p *piece) {
+	at, _ := slices.BinarySearchFunc(t.waiting, p, comparePieces)
+	t.waiting = slices.Insert(t.waiting, at, p)
+}
+
+// comparePieces orders by latency target, then by arrival.
+func comparePieces(a, b *piece) int {
+	if c := a.group.work.Target.Compare(b.group.work.Target); c != 0 {
+		return c
+	}
+	if c := cmp.Compare(a.group.id, b.group.id); c != 0 {
+		return c
+	}
+	return cmp.Compare(a.index, b.index)
+}
+
+// Cancel gives up a group that nobody waits for.
+func (t *Table) Cancel(now time.Time, id uint64) {
+	if g := t.groups[id]; g != nil {
+		t.drop(g)
+		t.dispatch(now)
+	}
+}
+
+// Release gives up results that have been read.
+func (t *Table) Release(now time.Time, handles []string) {
+	byWorker := make(map[*worker][]string)
+	for _, h := range handles {
+		if k := t.workers[ownerOf(t, h)]; k != nil && k.holds(h) {
+			byWorker[k] = append(byWorker[k], h)
+		}
+	}
+	for k, list := range byWorker {
+		t.actions = append(t.actions, Free{Target: k.target, Handles: list})
+	}
+	t.dispatch(now)
+}
+
+// ownerOf returns the target that holds a result.
+func ownerOf(t *Table, handle string) string {
+	for id, k := range t.workers {
+		if k.holds(handle) {
+			return id
+		}
+	}
+	return ""
+}
+
+// Freed takes in that a target has given up results.
+func (t *Table) Freed(now time.Time, target string, handles []string) {
+	if k := t.workers[target]; k != nil {
+		for _, h := range handles {
+			delete(k.results, h)
+		}
+	}
+	t.dispatch(now)
+}
+
+// Measured takes in the free memory of a target.
+func (t *Table) Measured(now time.Time, target string, free int64) {
+	if k := t.workers[target]; k != nil {
+		k.foreign = max(0, t.Limits.RoomBytes-free-k.used(now))
+		k.foreignUntil = now.Add(t.Limits.Retention)
+		k.measured = true
+	}
+	t.dispatch(now)
+}
+
+// Tick drops what is overdue and starts what has become possible.
+func (t *Table) Tick(now time.Time) {
+	for _, g := range t.groups {
+		if !now.Before(g.work.Deadline) {
+			t.fail(g, fault.New(fault.DeadlineExceeded, fault.NotRun, "%s did not finish in time", g.work.Service))
+		}
+	}
+	t.dispatch(now)
+}
+
+// Abandon fails every group, since another VM owns the service now.
+func (t *Table) Abandon() {
+	for _, g := range t.groups {
+		t.fail(g, fault.New(fault.Conflict, fault.NotRun, "another VM gathers for %s", g.work.Service))
+	}
+}
+
+// Waiting returns the number of pieces that wait.
+func (t *Table) Waiting() int { return len(t.waiting) }
+
+// Take returns the actions since the last call.
+func (t *Table) Take() []Action {
+	taken := t.actions
+	t.actions = nil
+	return taken
+}
+
+// drop removes a group and gives up what it has.
+func (t *Table) drop(g *group) {
+	delete(t.groups, g.id)
+	t.waiting = slices.DeleteFunc(t.waiting, func(p *piece) bool { return p.group == g })
+	made := slices.DeleteFunc(slices.Clone(g.handles), func(h string) bool { return h == "" })
+	for _, h := range made {
+		if k := t.workers[ownerOf(t, h)]; k != nil {
+			t.actions = append(t.actions, Free{Target: k.target, Handles: []string{h}})
+		}
+	}
+}
+
+func (t *Table) fail(g *group, err error) {
+	t.drop(g)
+	t.actions = append(t.actions, Done{Group: g.id, Err: err})
+}
--- a/cmds/root.go
+++ b/cmds/root.go
@@ -103,6 +103,7 @@
 		FlagSet:    flags,
 		Subcommands: []*ffcli.Command{
 			s.serveCommand(),
+			s.relayCommand(),
 			s.noteCommand(),
 			s.domainCommand(),
 			s.statusCommand(),
--- a/cmds/serve.go
+++ b/cmds/serve.go
@@ -119,7 +119,7 @@
 				return err
 			}
 			tuneMemory()
-			return serve(ctx, settings, addresses, log)
+			return serveNode(ctx, settings, addresses, log)
 		},
 	})
 }
@@ -140,8 +140,8 @@
 	}
 }
 
-// serve runs a node until the context ends, then stops it in order.
-func serve(ctx context.Context, settings node.Settings, stores []string, log *logrus.Logger) error {
+// serveNode runs a node until the context ends, then stops it in order.
+func serveNode(ctx context.Context, settings node.Settings, stores []string, log *logrus.Logger) error {
 	n := &node.Node{
 		Settings: settings,
 		Store:    &store.Client{Network: ports.SystemNetwork{}, Addresses: stores},
--- a/cmds/status.go
+++ b/cmds/status.go
@@ -10,7 +10,7 @@
 
 	"bergamotworks/admin"
 	"bergamotworks/pool"
-	"bergamotworks/target"
+	"bergamotworks/warm"
 )
 
 func (s *shell) statusCommand() *ffcli.Command {
@@ -91,7 +91,7 @@
 	switch {
 	case !t.Open:
 		return "closed"
-	case t.Phase == target.Warm:
+	case t.Phase == warm.Warm:
 		return t.Phase.String()
 	default:
 		return t.Phase.String() + " (" + t.Cause.String() + ")"
--- a/emul/handler.go
+++ b/emul/handler.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"net"
 	"strconv"
 	"time"
 
@@ -126,10 +127,17 @@
 // fall crashes the target under a call.
 func (h handler) fall(ctx *fasthttp.RequestCtx) (run, bool) {
 	h.target.crash(h.life)
-	ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+	breakOff(ctx)
 	return run{}, false
 }
 
+// breakOff closes the connection of a call without an answer. A life that has
+// ended must not send one, and the server would send an empty one otherwise.
+func breakOff(ctx *fasthttp.RequestCtx) {
+	ctx.HijackSetNoResponse(true)
+	ctx.Hijack(func(c net.Conn) { _ = c.Close() }) // The connection ends either way.
+}
+
 // call runs a call whose answer comes as a whole.
 func (h handler) call(ctx *fasthttp.RequestCtx, kind note.StageKind) {
 	var body callRequest
@@ -144,6 +152,7 @@
 	alive := r.work(h.target.Service.Typical())
 	r.finish(alive, 0)
 	if !alive {
+		breakOff(ctx)
 		return
 	}
 	output := Output(kind, body.Input, body.Previous, 0)
--- a/engine/attempt.go
+++ b/engine/attempt.go
@@ -12,6 +12,7 @@
 
 	"bergamotworks/fault"
 	"bergamotworks/note"
+	"bergamotworks/wire"
 )
 
 // The headers that identify a call.
@@ -27,7 +28,7 @@
 	call     Call
 	started  time.Time
 	deadline time.Time
-	conn     *conn
+	conn     *wire.Conn
 	ctx      context.Context
 	lastUse  bool // The target closes the connection after its answer.
 }
@@ -47,15 +48,15 @@
 }
 
 // abort closes the connection of an abandoned call, which ends its reads.
-func (a *attempt) abort() { closeConn(a.conn) }
+func (a *attempt) abort() { wire.Discard(a.conn) }
 
 // release keeps the connection after a whole answer and closes it otherwise.
 func (a *attempt) release(intact bool) {
 	if !intact {
-		closeConn(a.conn)
+		wire.Discard(a.conn)
 		return
 	}
-	a.client.idle.put(a.conn, a.client.Clock.Now(), a.client.idleTimeout())
+	a.client.idle.Put(a.conn, a.client.Clock.Now(), a.client.idleTimeout())
 }
 
 // connect takes a kept connection for an idempotent call, or opens one.
@@ -65,7 +66,7 @@
 		return failure
 	}
 	if a.call.Idempotent {
-		a.conn = a.client.idle.take(a.call.Address, now, a.client.idleTimeout())
+		a.conn = a.client.idle.Take(a.call.Address, now, a.client.idleTimeout())
 	}
 	if a.conn != nil {
 		return nil
@@ -74,7 +75,7 @@
 	defer cancel()
 	stream, err := a.client.Network.Dial(ctx, a.call.Address)
 	if err == nil {
-		a.conn = newConn(a.call.Address, stream)
+		a.conn = wire.NewConn(a.call.Address, stream)
 		return nil
 	}
 	if failure := a.expired(a.client.Clock.Now()); failure != nil {
@@ -106,7 +107,7 @@
 	if err := a.write(request); err != nil {
 		return Answer{}, a.lost(err)
 	}
-	if err := response.Header.Read(a.conn.reader); err != nil {
+	if err := response.Header.Read(a.conn.Reader); err != nil {
 		return Answer{}, a.lost(err)
 	}
 	if failure := a.checkHeader(response); failure != nil {
@@ -120,10 +121,10 @@
 }
 
 func (a *attempt) write(request *fasthttp.Request) error {
-	if err := request.Write(a.conn.writer); err != nil {
+	if err := request.Write(a.conn.Writer); err != nil {
 		return err
 	}
-	return a.conn.writer.Flush()
+	return a.conn.Writer.Flush()
 }
 
 // fill sets the header and the body of the request.
@@ -175,8 +176,8 @@
 
 // lost turns an error of the connection into a failure.
 func (a *attempt) lost(err error) *Failure {
-	if a.conn.readErr != nil {
-		err = a.conn.readErr
+	if a.conn.ReadErr != nil {
+		err = a.conn.ReadErr
 	}
 	timeout := isTimeout(err)
 	switch {
@@ -185,7 +186,7 @@
 	case a.ctx.Err() != nil || timeout && a.pastDeadline():
 		return failed(Abandoned, fault.DeadlineExceeded, "the deadline passed while the call ran")
 	case timeout:
-		a.client.idle.drop(a.call.Address)
+		a.client.idle.Drop(a.call.Address)
 		return failed(Silent, fault.ConnectionLost, "no byte from %s within the limit", a.call.Target)
 	case closedByTarget(err):
 		return failed(Crashed, fault.ConnectionLost, "%s closed the connection: %s", a.call.Target, err)
--- a/engine/client.go
+++ b/engine/client.go
@@ -10,6 +10,7 @@
 	"bergamotworks/fault"
 	"bergamotworks/note"
 	"bergamotworks/ports"
+	"bergamotworks/wire"
 )
 
 // The default limits of a [Client].
@@ -40,7 +41,7 @@
 	IdleTimeout     time.Duration // Kept connections are closed after it; zero means 30 s.
 	MaxAnswerBytes  int           // Zero means 8 MiB.
 
-	idle   idleConns
+	idle   wire.Idle
 	counts counters
 }
 
@@ -68,7 +69,7 @@
 
 // Close closes the kept connections. Calls in progress keep theirs until they end.
 func (c *Client) Close() error {
-	c.idle.close()
+	c.idle.Close()
 	return nil
 }
 
--- a/engine/report.go
+++ b/engine/report.go
@@ -92,7 +92,7 @@
 	if err := a.write(request); err != nil {
 		return a.lost(err)
 	}
-	if err := response.ReadLimitBody(a.conn.reader, a.client.maxAnswerBytes()); err != nil {
+	if err := response.ReadLimitBody(a.conn.Reader, a.client.maxAnswerBytes()); err != nil {
 		return a.lost(err)
 	}
 	a.lastUse = response.ConnectionClose()
--- a/engine/stream.go
+++ b/engine/stream.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"bergamotworks/fault"
+	"bergamotworks/wire"
 )
 
 // doneEvent ends the stream of a model engine.
@@ -22,12 +23,12 @@
 // stream reads the server-sent events of a model engine.
 func (a *attempt) stream(response *fasthttp.Response, onChunk func(Chunk)) (Answer, *Failure) {
 	response.StreamBody = true
-	if err := response.ReadBody(a.conn.reader, 0); err != nil {
+	if err := response.ReadBody(a.conn.Reader, 0); err != nil {
 		return Answer{}, a.lost(err)
 	}
 	s := completion{attempt: a, onChunk: onChunk, position: a.call.ResumeTokens}
 	s.text.WriteString(a.call.Resume)
-	failure := s.read(bufio.NewReaderSize(response.BodyStream(), connBufferBytes))
+	failure := s.read(bufio.NewReaderSize(response.BodyStream(), wire.ConnBufferBytes))
 	if failure == nil {
 		failure = s.complete()
 	}
--- a/engine/unary.go
+++ b/engine/unary.go
@@ -21,7 +21,7 @@
 		return Answer{}, failed(Corrupt, fault.TargetFailed, "the answer states no length")
 	}
 	a.wait(a.client.progressTimeout())
-	if err := response.ReadBody(a.conn.reader, a.client.maxAnswerBytes()); err != nil {
+	if err := response.ReadBody(a.conn.Reader, a.client.maxAnswerBytes()); err != nil {
 		return Answer{}, a.lost(err)
 	}
 	var body callResponse
--- a/member/owner.go
+++ b/member/owner.go
@@ -34,7 +34,7 @@
 		if region != "" && o.regions[i] != region {
 			continue
 		}
-		if s := score(key, h); found < 0 || s > best {
+		if s := Score(key, h); found < 0 || s > best {
 			best, found = s, o.indexes[i]
 		}
 	}
@@ -48,7 +48,7 @@
 		places[i] = i
 	}
 	slices.SortFunc(places, func(a, b int) int {
-		return cmp.Compare(score(key, o.hashes[b]), score(key, o.hashes[a]))
+		return cmp.Compare(Score(key, o.hashes[b]), Score(key, o.hashes[a]))
 	})
 	for i, p := range places {
 		places[i] = o.indexes[p]
@@ -56,8 +56,9 @@
 	return places
 }
 
-// score mixes the hashes of a key and a VM by the finaliser of MurmurHash3.
-func score(key, vm uint64) uint64 {
+// Score mixes the hashes of a key and a VM, or of whatever else is ranked for
+// the key, by the finaliser of MurmurHash3.
+func Score(key, vm uint64) uint64 {
 	x := key ^ vm
 	x ^= x >> 33
 	x *= 0xff51afd7ed558ccd
--- a/member/view.go
+++ b/member/view.go
@@ -86,9 +86,9 @@
 func (v View) Predecessor(key string) (VM, bool) {
 	hash := xxhash.Sum64String(key)
 	var found VM
-	best := score(hash, xxhash.Sum64String(v.Self.ID))
+	best := Score(hash, xxhash.Sum64String(v.Self.ID))
 	for _, m := range v.members {
-		s := score(hash, xxhash.Sum64String(m.ID))
+		s := Score(hash, xxhash.Sum64String(m.ID))
 		if !m.State.Live() && s >= best && m.Since.After(v.Self.Since) && m.ID != v.Self.ID {
 			found, best = m, s
 		}
--- /dev/null
+++ b/news/service.go
@@ -0,0 +1,287 @@
+package news
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"bergamotworks/fault"
+	"bergamotworks/member"
+	"bergamotworks/ports"
+	"bergamotworks/site"
+)
+
+// MethodTell asks a node for what it knows.
+const MethodTell = "news.tell"
+
+const (
+	readInterval   = 600 * time.Millisecond // Between two readings of the directory.
+	failedInterval = 300 * time.Millisecond // Between two tries while the store does not answer.
+	readTimeout    = 800 * time.Millisecond
+	watchTime      = 20 * time.Second
+	askTimeout     = 400 * time.Millisecond
+	askedPeers     = 2 // Nodes asked at once for news.
+)
+
+// Source reads the store.
+type Source interface {
+	// Directory returns the targets that are registered, and the failure
+	// domains that are taken out if they stand there too.
+	Directory(ctx context.Context) (site.Directory, error)
+	// Operated returns the configuration and the failure domains that are
+	// taken out, with the store's revision. An unknown configuration means
+	// that the store holds none.
+	Operated(ctx context.Context) (Operated, error)
+	// Await returns once the configuration or the failure domains have changed
+	// after a revision, or the time is over.
+	Await(ctx context.Context, revision int64, wait time.Duration) error
+}
+
+// Operated is what operators have written into the store.
+type Operated struct {
+	Config   site.Config
+	Departed []string
+	Revision int64
+}
+
+// Caller calls methods of other nodes.
+type Caller interface {
+	Call(ctx context.Context, vm, method string, params, result any) error
+}
+
+// Service follows the store and the other nodes. The exported fields are set
+// before [Service.Run].
+type Service struct {
+	Self    string
+	Source  Source
+	Peers   Caller
+	View    func() member.View
+	Clock   ports.Clock
+	Random  ports.Random
+	Log     *logrus.Entry
+	Metrics *metrics.Set
+	// Changed is called after a change; may be nil.
+	Changed func(Change)
+
+	mutex    sync.Mutex
+	state    State
+	operated Operated
+	read     bool      // What operators have written was read once.
+	heard    time.Time // Last success with the store.
+}
+
+// known is what one node tells another.
+type known struct {
+	Version  int64 `json:"version"`
+	Revision int64 `json:"revision"`
+}
+
+// told answers with what is newer.
+type told struct {
+	Config    *site.Config    `json:"config,omitempty"`
+	Directory *site.Directory `json:"directory,omitempty"`
+}
+
+// Run follows the store until the context ends.
+func (s *Service) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return s.loopOperated(ctx) })
+	group.Go(func() error { return s.loopDirectory(ctx) })
+	return group.Wait()
+}
+
+// Config returns the configuration in force.
+func (s *Service) Config() site.Config {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.state.Config()
+}
+
+// Directory returns the directory in force.
+func (s *Service) Directory() site.Directory {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.state.Directory()
+}
+
+// StoreSilence returns the time since the store was last read.
+func (s *Service) StoreSilence() time.Duration {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.Clock.Now().Sub(s.heard)
+}
+
+// loopOperated follows what operators write.
+func (s *Service) loopOperated(ctx context.Context) error {
+	for ctx.Err() == nil {
+		revision, err := s.readOperated(ctx)
+		if err == nil {
+			err = s.Source.Await(ctx, revision, watchTime)
+		}
+		if err != nil && !s.pause(ctx, failedInterval) {
+			return nil
+		}
+	}
+	return nil
+}
+
+func (s *Service) readOperated(ctx context.Context) (int64, error) {
+	calling, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	o, err := s.Source.Operated(calling)
+	if err != nil {
+		s.failed(ctx, "configuration", err)
+		return 0, err
+	}
+	s.mutex.Lock()
+	s.operated, s.read = o, true
+	change := s.state.Read(s.Clock.Now(), Snapshot{Config: o.Config, Directory: s.departures(s.state.listed)})
+	s.mutex.Unlock()
+	s.changed(change, "store")
+	return o.Revision, nil
+}
+
+// departures returns a directory with what operators have taken out, if both
+// are known.
+func (s *Service) departures(d site.Directory) site.Directory {
+	if !d.Known() || !s.read {
+		return site.Directory{}
+	}
+	return d.WithDeparted(s.operated.Departed, s.operated.Revision)
+}
+
+// loopDirectory reads the directory again and again.
+func (s *Service) loopDirectory(ctx context.Context) error {
+	for {
+		wait := readInterval
+		if err := s.readDirectory(ctx); err != nil {
+			wait = failedInterval
+			s.ask(ctx)
+		}
+		if !s.pause(ctx, wait) {
+			return nil
+		}
+	}
+}
+
+func (s *Service) readDirectory(ctx context.Context) error {
+	calling, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	d, err := s.Source.Directory(calling)
+	if err != nil {
+		s.failed(ctx, "directory", err)
+		return err
+	}
+	s.mutex.Lock()
+	s.heard = s.Clock.Now()
+	change := s.state.Read(s.heard, Snapshot{Directory: s.departures(d)})
+	s.mutex.Unlock()
+	s.changed(change, "store")
+	return nil
+}
+
+func (s *Service) pause(ctx context.Context, wait time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-s.Clock.After(wait):
+		return true
+	}
+}
+
+// failed notes a failed reading.
+func (s *Service) failed(ctx context.Context, what string, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	s.mutex.Lock()
+	s.state.Failed()
+	silence := s.Clock.Now().Sub(s.heard)
+	s.mutex.Unlock()
+	s.Metrics.GetOrCreateCounter("news_failed_reads_total").Inc()
+	s.Log.WithFields(logrus.Fields{"what": what, "silent_ms": silence.Milliseconds(), "error": err.Error()}).Warn("store not read")
+}
+
+// changed logs what has changed and tells the subscriber.
+func (s *Service) changed(c Change, from string) {
+	if c.Config {
+		config := s.Config()
+		s.Log.WithFields(logrus.Fields{"version": config.Version, "routes": len(config.Routes), "accounts": len(config.Accounts), "from": from}).Info("configuration in force")
+	}
+	if s.Changed != nil && (c.Config || c.Directory) {
+		s.Changed(c)
+	}
+}
+
+// ask takes in the news of some other nodes.
+func (s *Service) ask(ctx context.Context) {
+	others := s.others()
+	for range askedPeers {
+		if len(others) == 0 {
+			return
+		}
+		at := int(s.Random.Uint64() % uint64(len(others)))
+		vm := others[at]
+		others = append(others[:at:at], others[at+1:]...)
+		s.askPeer(ctx, vm)
+	}
+}
+
+func (s *Service) others() []string {
+	var ids []string
+	for _, m := range s.View().Live() {
+		if m.ID != s.Self {
+			ids = append(ids, m.ID)
+		}
+	}
+	return ids
+}
+
+func (s *Service) askPeer(ctx context.Context, vm string) {
+	calling, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	s.mutex.Lock()
+	mine := known{Version: s.state.Config().Version, Revision: s.state.listed.Revision}
+	s.mutex.Unlock()
+	var answer told
+	if err := s.Peers.Call(calling, vm, MethodTell, mine, &answer); err != nil {
+		s.Log.WithFields(logrus.Fields{"peer": vm, "error": err.Error()}).Info("no news from peer")
+		return
+	}
+	s.take(vm, answer)
+}
+
+func (s *Service) take(vm string, answer told) {
+	var n Snapshot
+	if answer.Config != nil {
+		n.Config = site.NewConfig(*answer.Config)
+	}
+	if answer.Directory != nil {
+		n.Directory = site.NewDirectory(*answer.Directory)
+	}
+	s.mutex.Lock()
+	change := s.state.Heard(s.Clock.Now(), n)
+	s.mutex.Unlock()
+	s.changed(change, vm)
+}
+
+// HandleTell answers with what is newer than what another node knows.
+func (s *Service) HandleTell(_ context.Context, theirs known) (told, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	var answer told
+	if c := s.state.Config(); c.Known() && c.Version > theirs.Version {
+		answer.Config = &c
+	}
+	if d := s.state.listed; d.Known() && d.Revision > theirs.Revision {
+		answer.Directory = &d
+	}
+	if answer.Config == nil && answer.Directory == nil && !s.state.Config().Known() {
+		return told{}, fault.New(fault.Unavailable, fault.NotRun, "nothing is known here")
+	}
+	return answer, nil
+}
--- a/pool/call.go
+++ b/pool/call.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"bergamotworks/fault"
-	"bergamotworks/target"
+	"bergamotworks/warm"
 )
 
 // Call is one attempt at a stage call.
@@ -36,21 +36,21 @@
 // target.
 type (
 	// Outcome is the end of one call.
-	Outcome = target.Outcome
+	Outcome = warm.Outcome
 	// OutcomeKind says how a call ended.
-	OutcomeKind = target.OutcomeKind
+	OutcomeKind = warm.OutcomeKind
 	// LoadReport is what a target says about its own load.
-	LoadReport = target.LoadReport
+	LoadReport = warm.LoadReport
 )
 
 // The outcomes of a call.
 const (
-	Succeeded  = target.Succeeded
-	Failed     = target.Failed
-	Overloaded = target.Overloaded
-	Crashed    = target.Crashed
-	Silent     = target.Silent
-	Canceled   = target.Canceled
+	Succeeded  = warm.Succeeded
+	Failed     = warm.Failed
+	Overloaded = warm.Overloaded
+	Crashed    = warm.Crashed
+	Silent     = warm.Silent
+	Canceled   = warm.Canceled
 )
 
 // call is a call that waits or runs.
--- a/pool/config.go
+++ b/pool/config.go
@@ -10,7 +10,7 @@
 
 	"bergamotworks/fault"
 	"bergamotworks/note"
-	"bergamotworks/target"
+	"bergamotworks/warm"
 )
 
 const (
@@ -106,7 +106,7 @@
 
 // inherit makes a target cold and full, as another node may have left it.
 func (p *Pool) inherit(now time.Time, m *member) {
-	m.target.Chill(now, target.Inherited)
+	m.target.Chill(now, warm.Inherited)
 	m.target.Assume(now, m.target.Settings.WarmLimit)
 }
 
--- a/pool/handover.go
+++ b/pool/handover.go
@@ -3,13 +3,13 @@
 import (
 	"time"
 
-	"bergamotworks/target"
+	"bergamotworks/warm"
 )
 
 // Handover is what a leaving owner passes on to the next one.
 type Handover struct {
 	Pool    string                   `json:"pool"`
-	Targets map[string]target.State  `json:"targets"`
+	Targets map[string]warm.State  `json:"targets"`
 	Costs   map[string]time.Duration `json:"costs,omitempty"`
 }
 
@@ -19,7 +19,7 @@
 	p.prepare(now)
 	h := &Handover{
 		Pool:    p.Spec.Name,
-		Targets: make(map[string]target.State, len(p.members)),
+		Targets: make(map[string]warm.State, len(p.members)),
 		Costs:   make(map[string]time.Duration, len(p.costs.stages)),
 	}
 	for _, m := range p.members {
--- a/pool/member.go
+++ b/pool/member.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"bergamotworks/note"
-	"bergamotworks/target"
+	"bergamotworks/warm"
 )
 
 // member is one target of the pool.
@@ -14,7 +14,7 @@
 	address string
 	hash    uint64
 	slot    int // Bit in the prefix index.
-	target  target.Target
+	target  warm.Target
 	open    bool  // New work is allowed.
 	listed  bool  // The target belongs to the pool's configuration.
 	guest   *call // Call that has the target, or waits to have it, for itself.
@@ -72,12 +72,12 @@
 }
 
 // configure brings one target up to its configuration at now.
-func (m *member) configure(now time.Time, config note.Target, open bool, settings target.Settings) {
+func (m *member) configure(now time.Time, config note.Target, open bool, settings warm.Settings) {
 	m.target.Configure(now, settings)
 	returned := open && !m.open
 	moved := m.address != "" && m.address != config.Address
 	if m.address != "" && (returned || moved) {
-		m.target.Chill(now, target.Returned)
+		m.target.Chill(now, warm.Returned)
 	}
 	m.address = config.Address
 	m.open = open
--- a/pool/policy.go
+++ b/pool/policy.go
@@ -2,7 +2,7 @@
 
 import (
 	"bergamotworks/note"
-	"bergamotworks/target"
+	"bergamotworks/warm"
 )
 
 // Policy says how calls are admitted. All but [Owned] are baselines for
@@ -23,8 +23,8 @@
 )
 
 // settings returns the bounds of the service's targets under the policy.
-func (p Policy) settings(service note.Service, nodes int) target.Settings {
-	s := target.SettingsOf(service)
+func (p Policy) settings(service note.Service, nodes int) warm.Settings {
+	s := warm.SettingsOf(service)
 	switch p {
 	case RoundRobin, LeastOutstanding:
 		return s.WithoutLearning()
--- a/pool/status.go
+++ b/pool/status.go
@@ -3,15 +3,15 @@
 import (
 	"time"
 
-	"bergamotworks/target"
+	"bergamotworks/warm"
 )
 
 // TargetStatus describes one target to operators.
 type TargetStatus struct {
 	Name  string       `json:"name"`
-	Phase target.Phase `json:"phase"`
+	Phase warm.Phase `json:"phase"`
 	// Cause says why the target last became cold.
-	Cause target.Cause `json:"cause"`
+	Cause warm.Cause `json:"cause"`
 	// Open says that the target may get new work.
 	Open  bool `json:"open"`
 	Limit int  `json:"limit"`
--- /dev/null
+++ b/relay/stages.go
@@ -0,0 +1,201 @@
+package relay
+
+import (
+	"context"
+	"slices"
+
+	"bergamotworks/batch"
+	"bergamotworks/fault"
+	"bergamotworks/place"
+	"bergamotworks/site"
+)
+
+// stageRun is one stage of a request under way.
+type stageRun struct {
+	job   *job
+	stage int
+	work  batch.Work
+	ended chan<- stageEnd
+}
+
+// stageEnd is the end of a stage.
+type stageEnd struct {
+	stage   int
+	handles []string
+	err     error
+}
+
+func (r stageRun) run(ctx context.Context) {
+	made, err := r.job.server.Stages.Do(ctx, r.work)
+	if err == nil && len(made) != r.work.Pieces {
+		err = fault.New(fault.Internal, fault.NotRun, "%d results for %d pieces", len(made), r.work.Pieces)
+	}
+	r.ended <- stageEnd{stage: r.stage, handles: made, err: err}
+}
+
+// runStages has the pieces of all stages made, each stage after those whose
+// results it reads.
+func (j *job) runStages(ctx context.Context) error {
+	if len(j.route.Stages) == 0 {
+		return nil
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	j.results = make([][]string, len(j.route.Stages))
+	begun := make([]bool, len(j.route.Stages))
+	ended := make(chan stageEnd, len(j.route.Stages))
+	domain := j.engineDomain()
+	running := 0
+	var failure error
+	for {
+		if failure == nil {
+			running += j.beginStages(ctx, begun, ended, domain)
+		}
+		if running == 0 {
+			break
+		}
+		e := <-ended
+		running--
+		j.results[e.stage] = e.handles
+		if e.err != nil && failure == nil {
+			failure = e.err
+			cancel()
+		}
+		if failure == nil {
+			j.freeRead(e.stage)
+		}
+	}
+	j.staged = j.server.Clock.Now().Sub(j.arrived)
+	if failure != nil {
+		return j.stageFailure(failure)
+	}
+	return nil
+}
+
+// stageFailure returns the refusal of a request whose stages failed. The
+// request itself has not run.
+func (j *job) stageFailure(err error) error {
+	e := fault.From(err).WithVerdict(fault.NotRun)
+	switch e.Kind {
+	case fault.DeadlineExceeded, fault.Canceled:
+		return fault.New(fault.DeadlineExceeded, fault.NotRun, "stages: %s", e.Message)
+	}
+	return fault.New(fault.Busy, fault.NotRun, "stages: %s", e.Message).WithRetryAfter(e.RetryAfter)
+}
+
+// beginStages starts every stage that can begin, and returns their number.
+func (j *job) beginStages(ctx context.Context, begun []bool, ended chan<- stageEnd, domain string) int {
+	n := 0
+	for i, stage := range j.route.Stages {
+		if begun[i] || j.counts[i] == 0 || !j.inputsReady(stage) {
+			continue
+		}
+		begun[i] = true
+		n++
+		r := stageRun{job: j, stage: i, work: j.work(i, stage, domain), ended: ended}
+		go r.run(ctx)
+	}
+	return n
+}
+
+func (j *job) inputsReady(stage site.Stage) bool {
+	for _, a := range stage.After {
+		if j.counts[a] > 0 && j.results[a] == nil {
+			return false
+		}
+	}
+	return true
+}
+
+func (j *job) work(i int, stage site.Stage, domain string) batch.Work {
+	w := batch.Work{
+		Service: stage.Service, Request: j.id, Stage: i, Pieces: j.counts[i], Bytes: stage.Bytes,
+		Domain: domain, Target: j.arrived.Add(j.route.Target), Deadline: j.limit, Priority: j.urgency(),
+	}
+	for _, a := range stage.After {
+		w.Inputs = append(w.Inputs, j.results[a]...)
+	}
+	if len(w.Inputs) == 0 {
+		w.Key = j.request.Headers.Get(j.server.Names.PieceKey)
+	}
+	return w
+}
+
+// engineDomain returns the failure domain of the target that would have the
+// request now, so that large results are made there.
+func (j *job) engineDomain() string {
+	s := j.server
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	g, ok := s.places.Choose(s.Clock.Now(), j.need(nil))
+	if !ok {
+		return ""
+	}
+	return g.Domain
+}
+
+// freeRead gives up the results that only the given stage reads.
+func (j *job) freeRead(by int) {
+	for _, a := range j.route.Stages[by].After {
+		if j.counts[a] == 0 || !j.allRead(a) {
+			continue
+		}
+		j.server.Stages.Release(j.route.Stages[a].Service, j.results[a])
+		j.results[a] = []string{} // Not nil: the stage has been done.
+	}
+}
+
+// allRead reports whether every stage that reads the results of a stage has ended.
+func (j *job) allRead(stage int) bool {
+	for i, s := range j.route.Stages {
+		if j.counts[i] > 0 && j.results[i] == nil && slices.Contains(s.After, stage) {
+			return false
+		}
+	}
+	return true
+}
+
+// inputs returns the handles of the results that the request itself reads.
+func (j *job) inputs() []string {
+	var list []string
+	for _, i := range j.route.Final(j.counts) {
+		list = append(list, j.results[i]...)
+	}
+	return list
+}
+
+// free gives up all results of the request that are left.
+func (j *job) free() {
+	if j.freed || j.results == nil {
+		return
+	}
+	j.freed = true
+	for i, list := range j.results {
+		if len(list) > 0 {
+			j.server.Stages.Release(j.route.Stages[i].Service, list)
+		}
+	}
+}
+
+// need describes the request to the choice of a target.
+func (j *job) need(tried []string) place.Need {
+	s := j.server
+	n := place.Need{
+		Targets: s.Directory().Usable(j.service), Domain: s.Domain, Tried: tried, ColdRate: j.coldRate(),
+	}
+	if j.route.Affinity {
+		n.Affinity = affinity(j.request.Headers.Get(s.Names.Parts))
+	}
+	return n
+}
+
+// coldRate returns the requests per second that this node may send to a cold
+// target of the service.
+func (j *job) coldRate() float64 {
+	service, ok := j.config.Service(j.service)
+	if !ok {
+		return 1
+	}
+	nodes := float64(max(1, len(j.server.View().Live())))
+	return service.ColdRate * j.server.Bounds.ColdFactor / nodes
+}
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -12,6 +12,11 @@
 type Budget struct {
 	// Share is the number of retries allowed for each first attempt.
 	Share float64
+	// Floor is the number of retries per second allowed without any first
+	// attempt; zero means 0.5.
+	Floor float64
+	// Largest is the number of retries that may be saved up; zero means 10.
+	Largest float64
 
 	tokens  float64
 	updated time.Time
@@ -20,7 +25,7 @@
 // First counts a first attempt at now.
 func (b *Budget) First(now time.Time) {
 	b.settle(now)
-	b.tokens = min(largestSaving, b.tokens+b.Share)
+	b.tokens = min(b.largest(), b.tokens+b.Share)
 }
 
 // Spend takes one retry out of the budget and reports whether there was one.
@@ -37,7 +42,21 @@
 	if b.updated.IsZero() {
 		b.tokens = 1
 	} else {
-		b.tokens = min(largestSaving, b.tokens+floorPerSecond*max(0, now.Sub(b.updated).Seconds()))
+		b.tokens = min(b.largest(), b.tokens+b.floor()*max(0, now.Sub(b.updated).Seconds()))
 	}
 	b.updated = now
 }
+
+func (b *Budget) floor() float64 {
+	if b.Floor == 0 {
+		return floorPerSecond
+	}
+	return b.Floor
+}
+
+func (b *Budget) largest() float64 {
+	if b.Largest == 0 {
+		return largestSaving
+	}
+	return b.Largest
+}
--- /dev/null
+++ b/serve/settings.go
@@ -0,0 +1,51 @@
+package serve
+
+import (
+	"net/netip"
+	"time"
+
+	"bergamotworks/fault"
+	"bergamotworks/relay"
+)
+
+// Settings are the settings of a node that serves opaque routes.
+type Settings struct {
+	VM            string // Identifier of this VM, unique in the fleet.
+	Domain        string // Failure domain of this VM.
+	Region        string
+	Listen        string        // Callers' address, IP:port.
+	Ready         string        // Balancers' address, IP:port.
+	MetricsListen string        // Address of the metrics, IP:port; empty for none.
+	Peer          string        // Address for other nodes, TCP, IP:port.
+	Gossip        string        // Address for membership, UDP, IP:port.
+	StopTime      time.Duration // Time for a planned stop.
+	Bounds        relay.Bounds
+}
+
+// Check reports the first setting that is missing or wrong.
+func (s Settings) Check() error {
+	if s.VM == "" {
+		return fault.BadField("vm", "missing")
+	}
+	if s.Domain == "" {
+		return fault.BadField("domain", "missing")
+	}
+	addresses := []struct{ field, value string }{
+		{"listen", s.Listen}, {"ready_listen", s.Ready}, {"peer_listen", s.Peer}, {"gossip_listen", s.Gossip},
+	}
+	if s.MetricsListen != "" {
+		addresses = append(addresses, struct{ field, value string }{"metrics_listen", s.MetricsListen})
+	}
+	for _, a := range addresses {
+		if _, err := netip.ParseAddrPort(a.value); err != nil {
+			return fault.BadField(a.field, "%q is not IP:port", a.value)
+		}
+	}
+	if s.StopTime <= 0 {
+		return fault.BadField("stop_time", "must be above zero")
+	}
+	if s.Bounds.RetryShare < 0 || s.Bounds.RetrySlack < 0 || s.Bounds.RetryWindow <= 0 {
+		return fault.BadField("retry_window", "the retry bounds must not be negative, and the window must be above zero")
+	}
+	return nil
+}
--- a/target/report.go
+++ b/warm/report.go
@@ -1,4 +1,4 @@
-package target
+package warm
 
 import "time"
 
--- a/target/target_test.go
+++ b/warm/target_test.go
@@ -1,4 +1,4 @@
-package target_test
+package warm_test
 
 import (
 	"fmt"
@@ -9,7 +9,7 @@
 
 	"bergamotworks/note"
 	"bergamotworks/script"
-	"bergamotworks/target"
+	"bergamotworks/warm"
 )
 
 // targetScript is a data file: a target's settings, and steps with the phase,
@@ -27,15 +27,15 @@
 	Calls  int                `json:"calls"`
 	Times  int                `json:"times"` // How often, one after another.
 	MS     int64              `json:"ms"`
-	Kind   target.OutcomeKind `json:"kind"`
+	Kind   warm.OutcomeKind `json:"kind"`
 	Assume int                `json:"assume"`
-	Report *target.LoadReport `json:"report"`
+	Report *warm.LoadReport `json:"report"`
 	Want   string             `json:"want"`
 }
 
 func TestTarget(t *testing.T) {
 	script.Run(t, "testdata/*.json", func(t *testing.T, data targetScript) {
-		m := &target.Target{Settings: target.SettingsOf(data.Service)}
+		m := &warm.Target{Settings: warm.SettingsOf(data.Service)}
 		var want, got []string
 		for _, s := range data.Steps {
 			now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC).Add(time.Duration(s.AtMS) * time.Millisecond)
@@ -50,7 +50,7 @@
 }
 
 // play runs the step on the target and returns the time at its end.
-func (s targetStep) play(m *target.Target, now time.Time) time.Time {
+func (s targetStep) play(m *warm.Target, now time.Time) time.Time {
 	if s.Assume > 0 {
 		m.Assume(now, s.Assume)
 	}
@@ -67,7 +67,7 @@
 			now = now.Add(latency)
 		}
 		for range s.Calls {
-			m.Finish(now, epoch, target.Outcome{Kind: s.Kind, Latency: latency})
+			m.Finish(now, epoch, warm.Outcome{Kind: s.Kind, Latency: latency})
 		}
 	}
 	return now
--- a/engine/conn.go
+++ b/wire/conn.go
@@ -1,4 +1,4 @@
-package engine
+package wire
 
 import (
 	"bufio"
@@ -11,39 +11,40 @@
 // maxIdleConns is the number of kept connections to one address.
 const maxIdleConns = 32
 
-// connBufferBytes is the size of a connection's read and write buffers.
-const connBufferBytes = 4 << 10
+// ConnBufferBytes is the size of a connection's read and write buffers.
+const ConnBufferBytes = 4 << 10
 
-// conn is a connection to a target.
-type conn struct {
+// Conn is a connection to a target. Use [NewConn].
+type Conn struct {
 	net.Conn
 	address   string
-	reader    *bufio.Reader
-	writer    *bufio.Writer
+	Reader    *bufio.Reader
+	Writer    *bufio.Writer
 	idleSince time.Time
-	readErr   error // Last error of Read, which parsers do not all pass on.
+	ReadErr   error // Last error of Read, which parsers do not all pass on.
 }
 
-func newConn(address string, stream net.Conn) *conn {
-	c := &conn{Conn: stream, address: address}
-	c.reader = bufio.NewReaderSize(c, connBufferBytes)
-	c.writer = bufio.NewWriterSize(c, connBufferBytes)
+// NewConn returns the connection over a stream to an address.
+func NewConn(address string, stream net.Conn) *Conn {
+	c := &Conn{Conn: stream, address: address}
+	c.Reader = bufio.NewReaderSize(c, ConnBufferBytes)
+	c.Writer = bufio.NewWriterSize(c, ConnBufferBytes)
 	return c
 }
 
 // Read reads from the connection and remembers the error.
-func (c *conn) Read(p []byte) (int, error) {
+func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if err != nil {
-		c.readErr = err
+		c.ReadErr = err
 	}
 	return n, err
 }
 
 // alive reports whether the other end has neither closed the connection nor
 // written to it. A connection that cannot be probed is not alive.
-func (c *conn) alive() bool {
-	if c.reader.Buffered() > 0 {
+func (c *Conn) alive() bool {
+	if c.Reader.Buffered() > 0 {
 		return false
 	}
 	s, ok := c.Conn.(syscall.Conn)
@@ -66,16 +67,16 @@
 	return err == syscall.EAGAIN
 }
 
-// idleConns holds the kept connections by address.
-type idleConns struct {
+// Idle holds the kept connections by address. The zero value is ready for use.
+type Idle struct {
 	mutex     sync.Mutex
-	byAddress map[string][]*conn
+	byAddress map[string][]*Conn
 	swept     time.Time
 	closed    bool
 }
 
-// take removes and returns a live connection, or nil.
-func (i *idleConns) take(address string, now time.Time, limit time.Duration) *conn {
+// Take removes and returns a live connection, or nil.
+func (i *Idle) Take(address string, now time.Time, limit time.Duration) *Conn {
 	for {
 		c := i.pop(address)
 		if c == nil {
@@ -84,11 +85,11 @@
 		if now.Sub(c.idleSince) < limit && c.alive() {
 			return c
 		}
-		closeConn(c)
+		Discard(c)
 	}
 }
 
-func (i *idleConns) pop(address string) *conn {
+func (i *Idle) pop(address string) *Conn {
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
 	kept := i.byAddress[address]
@@ -102,11 +103,11 @@
 	return c
 }
 
-// put keeps a connection, and closes those that have been idle for too long.
-func (i *idleConns) put(c *conn, now time.Time, limit time.Duration) {
+// Put keeps a connection, and closes those that have been idle for too long.
+func (i *Idle) Put(c *Conn, now time.Time, limit time.Duration) {
 	c.idleSince = now
 	i.mutex.Lock()
-	var expired []*conn
+	var expired []*Conn
 	if now.Sub(i.swept) >= limit {
 		expired = i.sweep(now.Add(-limit))
 		i.swept = now
@@ -120,16 +121,16 @@
 	closeConns(expired)
 }
 
-func (i *idleConns) keep(c *conn) {
+func (i *Idle) keep(c *Conn) {
 	if i.byAddress == nil {
-		i.byAddress = make(map[string][]*conn)
+		i.byAddress = make(map[string][]*Conn)
 	}
 	i.byAddress[c.address] = append(i.byAddress[c.address], c)
 }
 
 // sweep removes and returns the connections that became idle before the time.
-func (i *idleConns) sweep(before time.Time) []*conn {
-	var expired []*conn
+func (i *Idle) sweep(before time.Time) []*Conn {
+	var expired []*Conn
 	for address, kept := range i.byAddress {
 		n := 0
 		for n < len(kept) && kept[n].idleSince.Before(before) {
@@ -140,13 +141,13 @@
 			delete(i.byAddress, address)
 			continue
 		}
-		i.byAddress[address] = append([]*conn(nil), kept[n:]...)
+		i.byAddress[address] = append([]*Conn(nil), kept[n:]...)
 	}
 	return expired
 }
 
-// drop closes the kept connections to an address.
-func (i *idleConns) drop(address string) {
+// Drop closes the kept connections to an address.
+func (i *Idle) Drop(address string) {
 	i.mutex.Lock()
 	kept := i.byAddress[address]
 	delete(i.byAddress, address)
@@ -154,8 +155,8 @@
 	closeConns(kept)
 }
 
-// close closes all kept connections; later ones are closed instead of kept.
-func (i *idleConns) close() {
+// Close closes all kept connections; later ones are closed instead of kept.
+func (i *Idle) Close() {
 	i.mutex.Lock()
 	i.closed = true
 	all := i.byAddress
@@ -166,11 +167,11 @@
 	}
 }
 
-func closeConns(conns []*conn) {
+func closeConns(conns []*Conn) {
 	for _, c := range conns {
-		closeConn(c)
+		Discard(c)
 	}
 }
 
-// closeConn closes a connection that is given up; its error has no reader.
-func closeConn(c *conn) { _ = c.Close() }
+// Discard closes a connection that is given up; its error has no reader.
+func Discard(c *Conn) { _ = c.Close() }
--- /dev/null
+++ b/wire/request.go
@@ -0,0 +1,125 @@
+package wire
+
+import (
+	"bufio"
+	"io"
+	"net/http/httputil"
+	"strings"
+
+	"bergamotworks/fault"
+)
+
+// Request is a request as a caller sent it.
+type Request struct {
+	Method  string
+	URI     string // Path and query as sent.
+	Headers Headers
+	Body    []byte
+	Close   bool // The caller uses the connection for no other request.
+	// Unread says that the body was not read, so that the connection must be
+	// closed after the answer.
+	Unread bool
+}
+
+// Host returns the host that the request names.
+func (r *Request) Host() string { return r.Headers.Get("Host") }
+
+// Path returns the path without the query.
+func (r *Request) Path() string {
+	path, _, _ := strings.Cut(r.URI, "?")
+	return path
+}
+
+// Reader reads the requests of one connection.
+type Reader struct {
+	Buffer *bufio.Reader // Its size bounds the head of a request, in bytes.
+	// Continue asks the caller to send a body that it holds back.
+	Continue func() error
+}
+
+// ReadHead reads the head of the next request. An error of type *fault.Error
+// means that the request is refused, and any other that the connection ended.
+func (r *Reader) ReadHead() (*Request, error) {
+	line, headers, err := readHead(r.Buffer)
+	if err != nil {
+		return nil, err
+	}
+	parts := strings.Split(line, " ")
+	if len(parts) != 3 || !isToken(parts[0]) || !strings.HasPrefix(parts[1], "/") {
+		return nil, malformed("the request line")
+	}
+	q := &Request{Method: parts[0], URI: parts[1], Headers: headers}
+	switch parts[2] {
+	case "HTTP/1.1":
+		q.Close = headers.lists("Connection", "close")
+	case "HTTP/1.0":
+		q.Close = !headers.lists("Connection", "keep-alive")
+	default:
+		return nil, malformed("the protocol version")
+	}
+	if headers.Count("Host") != 1 {
+		return nil, malformed("a request needs one Host header")
+	}
+	return q, nil
+}
+
+// ReadBody reads the body of a request, up to a limit in bytes.
+func (r *Reader) ReadBody(q *Request, limit int64) error {
+	length, err := q.Headers.bodyLength(0)
+	if err != nil {
+		return err
+	}
+	if length == 0 {
+		return nil
+	}
+	if length > limit {
+		return bodyTooLarge(limit)
+	}
+	if strings.EqualFold(q.Headers.Get("Expect"), "100-continue") && r.Continue != nil {
+		if err := r.Continue(); err != nil {
+			return err
+		}
+	}
+	if length == chunked {
+		return r.readChunks(q, limit)
+	}
+	q.Body = make([]byte, length)
+	_, err = io.ReadFull(r.Buffer, q.Body)
+	return err
+}
+
+func bodyTooLarge(limit int64) error {
+	return fault.New(fault.TooLarge, fault.NotRun, "the body is longer than %d bytes", limit)
+}
+
+func (r *Reader) readChunks(q *Request, limit int64) error {
+	body, err := io.ReadAll(io.LimitReader(httputil.NewChunkedReader(r.Buffer), limit+1))
+	if err != nil {
+		if err == io.ErrUnexpectedEOF {
+			return err
+		}
+		return malformed("the chunked body: %s", err)
+	}
+	if int64(len(body)) > limit {
+		return bodyTooLarge(limit)
+	}
+	q.Body = body
+	return skipTrailer(r.Buffer)
+}
+
+// maxTrailerLines bounds the lines after a chunked body.
+const maxTrailerLines = 32
+
+// skipTrailer reads the lines between the last chunk and the end of a message.
+func skipTrailer(r *bufio.Reader) error {
+	for range maxTrailerLines {
+		line, err := r.ReadSlice('\n')
+		if err != nil {
+			return err
+		}
+		if len(line) == 2 && line[0] == '\r' {
+			return nil
+		}
+	}
+	return malformed("the trailer is too long")
+}
