--- a/batch/perform.go
+++ b/batch/perform.go
@@ -138,6 +138,7 @@
 		s.Log.WithFields(logrus.Fields{"target": m.target.ID, "error": err.Error()}).Warn("free memory of target unknown")
 		return
 	}
+	s.Log.WithFields(logrus.Fields{"service": m.gathered.name, "target": m.target.ID, "free_bytes": room, "limit_bytes": m.gathered.table.Limits.RoomBytes}).Info("memory of target measured")
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	m.gathered.table.Measured(s.Clock.Now(), m.target.ID, room)
