Keep departures that another node told of

A node that was cut from the store learned from a peer that a failure domain is taken out; its next own reading of the directory put its older departures back, and its watch, silent since the cut, would have told it 20 s later. Departures now have a revision of their own, and a watch lasts 2 s. Test departure_heard fails before.

--- /dev/null
+++ b/batch/table_test.go
@@ -0,0 +1,186 @@
+package batch_test
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+
+	"bergamotworks/batch"
+	"bergamotworks/script"
+	"bergamotworks/site"
+)
+
+// tableCase plays events against one table.
+type tableCase struct {
+	// Load says in words which load the case plays.
+	Load   string      `json:"load"`
+	Limits tableLimits `json:"limits"`
+	Steps  []tableStep `json:"steps"`
+}
+
+type tableLimits struct {
+	Slots       int   `json:"slots"`
+	Size        int   `json:"size"`
+	CallMS      int64 `json:"call_ms"`
+	PieceMS     int64 `json:"piece_ms"`
+	RoomBytes   int64 `json:"room_bytes"`
+	RetentionMS int64 `json:"retention_ms"`
+}
+
+// tableStep is one event and the actions that follow it.
+type tableStep struct {
+	AtMS int64 `json:"at_ms"`
+	// Targets replaces the targets, each as ID, ID@domain or ID@domain#incarnation.
+	Targets []string  `json:"targets"`
+	Submit  *workSpec `json:"submit"`
+	Ended   *endSpec  `json:"ended"`
+	Release []string  `json:"release"`
+	Freed   *freeSpec `json:"freed"`
+	Measure *freeSpec `json:"measured"`
+	Cancel  uint64    `json:"cancel"`
+	Abandon bool      `json:"abandon"`
+	Tick    bool      `json:"tick"`
+	Want    []string  `json:"want"`
+}
+
+type workSpec struct {
+	Request    string `json:"request"`
+	Pieces     int    `json:"pieces"`
+	Bytes      int64  `json:"bytes"`
+	Domain     string `json:"domain"`
+	TargetMS   int64  `json:"target_ms"`
+	DeadlineMS int64  `json:"deadline_ms"`
+}
+
+// endSpec ends a call; a result is a handle, or a reason after an exclamation mark.
+type endSpec struct {
+	Target  string   `json:"target"`
+	Run     uint64   `json:"run"`
+	Results []string `json:"results"`
+	Error   string   `json:"error"`
+}
+
+type freeSpec struct {
+	Target  string   `json:"target"`
+	Handles []string `json:"handles"`
+	Bytes   int64    `json:"bytes"`
+}
+
+func TestTable(t *testing.T) {
+	script.Run(t, "testdata/*.json", testTable)
+}
+
+func testTable(t *testing.T, v tableCase) {
+	start := time.Unix(1000, 0)
+	table := batch.Table{Limits: site.Batch{
+		Slots: v.Limits.Slots, Size: v.Limits.Size, RoomBytes: v.Limits.RoomBytes,
+		CallTime: ms(v.Limits.CallMS), PieceTime: ms(v.Limits.PieceMS), Retention: ms(v.Limits.RetentionMS),
+	}}
+	for i, s := range v.Steps {
+		refusal := apply(&table, start, s)
+		var got []string
+		if refusal != nil {
+			got = append(got, "refused: "+kindOf(refusal))
+		}
+		for _, a := range table.Take() {
+			got = append(got, describe(a))
+		}
+		slices.Sort(got)
+		want := slices.Clone(s.Want)
+		slices.Sort(want)
+		if diff := cmp.Diff(want, got, cmpopts.EquateEmpty()); diff != "" {
+			t.Errorf("step %d at %d ms (-want +got):\n%s", i, s.AtMS, diff)
+		}
+	}
+}
+
+func ms(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+
+func apply(table *batch.Table, start time.Time, s tableStep) error {
+	now := start.Add(ms(s.AtMS))
+	switch {
+	case s.Targets != nil:
+		table.SetTargets(now, targets(s.Targets))
+	case s.Submit != nil:
+		_, err := table.Submit(now, batch.Work{
+			Service: "plan", Request: s.Submit.Request, Pieces: s.Submit.Pieces, Bytes: s.Submit.Bytes, Domain: s.Submit.Domain,
+			Target: start.Add(ms(s.Submit.TargetMS)), Deadline: start.Add(ms(s.Submit.DeadlineMS)),
+		})
+		return err
+	case s.Ended != nil:
+		table.Ended(now, s.Ended.Target, s.Ended.Run, results(s.Ended.Results), failure(s.Ended.Error))
+	case s.Release != nil:
+		table.Release(now, s.Release)
+	case s.Freed != nil:
+		table.Freed(now, s.Freed.Target, s.Freed.Handles)
+	case s.Measure != nil:
+		table.Measured(now, s.Measure.Target, s.Measure.Bytes)
+	case s.Cancel != 0:
+		table.Cancel(now, s.Cancel)
+	case s.Abandon:
+		table.Abandon()
+	case s.Tick:
+		table.Tick(now)
+	}
+	return nil
+}
+
+func targets(specs []string) []site.Target {
+	var list []site.Target
+	for _, p := range specs {
+		name, number, _ := strings.Cut(p, "#")
+		id, domain, _ := strings.Cut(name, "@")
+		list = append(list, site.Target{ID: id, Service: "plan", Address: id + ":1", Domain: domain, Incarnation: int64(len(number))})
+	}
+	return list
+}
+
+func results(specs []string) []batch.Result {
+	var list []batch.Result
+	for _, p := range specs {
+		if word, ok := strings.CutPrefix(p, "!"); ok {
+			reason, err := batch.ReasonString(word)
+			if err != nil {
+				panic(err)
+			}
+			list = append(list, batch.Result{Reason: reason})
+			continue
+		}
+		list = append(list, batch.Result{Handle: p})
+	}
+	return list
+}
+
+func failure(text string) error {
+	if text == "" {
+		return nil
+	}
+	return errors.New(text)
+}
+
+func describe(a batch.Action) string {
+	switch v := a.(type) {
+	case batch.Start:
+		var pieces []string
+		for _, p := range v.Pieces {
+			pieces = append(pieces, fmt.Sprintf("%s/%d", p.Request, p.Index))
+		}
+		return fmt.Sprintf("start %d at %s: %s", v.Run, v.Target.ID, strings.Join(pieces, " "))
+	case batch.Done:
+		if v.Err != nil {
+			return fmt.Sprintf("done %d: %s", v.Group, kindOf(v.Err))
+		}
+		return fmt.Sprintf("done %d: %s", v.Group, strings.Join(v.Handles, " "))
+	case batch.Free:
+		return fmt.Sprintf("free at %s: %s", v.Target.ID, strings.Join(v.Handles, " "))
+	case batch.Measure:
+		return "measure " + v.Target.ID
+	}
+	return fmt.Sprintf("unknown %T", a)
+}
--- a/cmds/relay.go
+++ b/cmds/relay.go
@@ -30,12 +30,13 @@
 }
 
 const (
-	defaultStopTime    = 8 * time.Second
-	defaultRetryShare  = 0.2
-	defaultRetrySlack  = 50
-	defaultRetryWindow = 10 * time.Second
-	defaultColdFactor  = 1
-	settingsFlag       = "settings"
+	defaultStopTime     = 8 * time.Second
+	defaultBalancerWait = 2200 * time.Millisecond
+	defaultRetryShare   = 0.2
+	defaultRetrySlack   = 50
+	defaultRetryWindow  = 10 * time.Second
+	defaultColdFactor   = 1
+	settingsFlag        = "settings"
 )
 
 func (v *relaySettings) register(flags *flag.FlagSet) {
@@ -51,6 +52,7 @@
 	flags.StringVar(&v.seeds, "seeds", "", "membership addresses of VMs that may be live, IP:port, separated by commas")
 	flags.StringVar(&v.store, "store", "", "address of the platform's store, IP:port (required)")
 	flags.DurationVar(&n.StopTime, "stop-time", defaultStopTime, "time for a planned stop")
+	flags.DurationVar(&n.BalancerWait, "balancer-wait", defaultBalancerWait, "time in which the balancer notices that the node is not ready")
 	flags.Float64Var(&n.Bounds.RetryShare, "retry-share", defaultRetryShare, "repeated requests to a service for each request, over all nodes")
 	flags.Float64Var(&n.Bounds.RetrySlack, "retry-slack", defaultRetrySlack, "repeated requests to a service beyond the share, over all nodes")
 	flags.DurationVar(&n.Bounds.RetryWindow, "retry-window", defaultRetryWindow, "time over which repeated requests are counted")
--- a/news/service.go
+++ b/news/service.go
@@ -22,9 +22,11 @@
 	readInterval   = 600 * time.Millisecond // Between two readings of the directory.
 	failedInterval = 300 * time.Millisecond // Between two tries while the store does not answer.
 	readTimeout    = 800 * time.Millisecond
-	watchTime      = 20 * time.Second
-	askTimeout     = 400 * time.Millisecond
-	askedPeers     = 2 // Nodes asked at once for news.
+	// watchTime bounds the time for which a connection that fell silent hides
+	// what operators write.
+	watchTime  = 2 * time.Second
+	askTimeout = 400 * time.Millisecond
+	askedPeers = 2 // Nodes asked at once for news.
 )
 
 // Source reads the store.
@@ -67,23 +69,23 @@
 	// Changed is called after a change; may be nil.
 	Changed func(Change)
 
-	mutex    sync.Mutex
-	state    State
-	operated Operated
-	read     bool      // What operators have written was read once.
-	heard    time.Time // Last success with the store.
+	mutex sync.Mutex
+	state State
+	heard time.Time // Last success with the store.
 }
 
 // known is what one node tells another.
 type known struct {
-	Version  int64 `json:"version"`
-	Revision int64 `json:"revision"`
+	Version    int64 `json:"version"`    // Of the configuration.
+	Revision   int64 `json:"revision"`   // Of the directory.
+	Departures int64 `json:"departures"` // Revision of the departures.
 }
 
 // told answers with what is newer.
 type told struct {
-	Config    *site.Config    `json:"config,omitempty"`
-	Directory *site.Directory `json:"directory,omitempty"`
+	Config     *site.Config    `json:"config,omitempty"`
+	Directory  *site.Directory `json:"directory,omitempty"`
+	Departures *Departures     `json:"departures,omitempty"`
 }
 
 // Run follows the store until the context ends.
@@ -138,22 +140,14 @@
 		return 0, err
 	}
 	s.mutex.Lock()
-	s.operated, s.read = o, true
-	change := s.state.Read(s.Clock.Now(), Snapshot{Config: o.Config, Directory: s.departures(s.state.listed)})
+	change := s.state.Read(s.Clock.Now(), Snapshot{
+		Config: o.Config, Departures: &Departures{Domains: o.Departed, Revision: o.Revision},
+	})
 	s.mutex.Unlock()
 	s.changed(change, "store")
 	return o.Revision, nil
 }
 
-// departures returns a directory with what operators have taken out, if both
-// are known.
-func (s *Service) departures(d site.Directory) site.Directory {
-	if !d.Known() || !s.read {
-		return site.Directory{}
-	}
-	return d.WithDeparted(s.operated.Departed, s.operated.Revision)
-}
-
 // loopDirectory reads the directory again and again.
 func (s *Service) loopDirectory(ctx context.Context) error {
 	for {
@@ -178,7 +172,7 @@
 	}
 	s.mutex.Lock()
 	s.heard = s.Clock.Now()
-	change := s.state.Read(s.heard, Snapshot{Directory: s.departures(d)})
+	change := s.state.Read(s.heard, Snapshot{Directory: d})
 	s.mutex.Unlock()
 	s.changed(change, "store")
 	return nil
@@ -245,7 +239,7 @@
 	calling, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	s.mutex.Lock()
-	mine := known{Version: s.state.Config().Version, Revision: s.state.listed.Revision}
+	mine := s.state.known()
 	s.mutex.Unlock()
 	var answer told
 	if err := s.Peers.Call(calling, vm, MethodTell, mine, &answer); err != nil {
@@ -256,7 +250,7 @@
 }
 
 func (s *Service) take(vm string, answer told) {
-	var n Snapshot
+	n := Snapshot{Departures: answer.Departures}
 	if answer.Config != nil {
 		n.Config = site.NewConfig(*answer.Config)
 	}
@@ -280,6 +274,9 @@
 	if d := s.state.listed; d.Known() && d.Revision > theirs.Revision {
 		answer.Directory = &d
 	}
+	if d := s.state.departures; d != nil && d.Revision > theirs.Departures {
+		answer.Departures = d
+	}
 	if answer.Config == nil && answer.Directory == nil && !s.state.Config().Known() {
 		return told{}, fault.New(fault.Unavailable, fault.NotRun, "nothing is known here")
 	}
--- a/news/state.go
+++ b/news/state.go
@@ -10,10 +10,18 @@
 // the store have to register again after its return.
 const returnTime = 2200 * time.Millisecond
 
-// Snapshot is what the store says at one moment.
+// Departures are the failure domains that are taken out.
+type Departures struct {
+	Domains  []string `json:"domains"`
+	Revision int64    `json:"revision"` // Revision of the store at which they were read.
+}
+
+// Snapshot is what the store or another node says at one moment. What it does
+// not speak of is unknown, nil for the departures.
 type Snapshot struct {
-	Config    site.Config    `json:"config"` // Unknown if the store holds none.
-	Directory site.Directory `json:"directory"`
+	Config     site.Config
+	Directory  site.Directory // As registered, without departures.
+	Departures *Departures
 }
 
 // State merges snapshots. The zero value knows nothing. It is not safe for
@@ -21,8 +29,9 @@
 type State struct {
 	config    site.Config
 	directory site.Directory
-	// listed is the directory as last read, without what is kept.
-	listed site.Directory
+	// listed is the directory as last read, without what is kept or taken out.
+	listed     site.Directory
+	departures *Departures
 	// outage says that the store could not be read since the last success.
 	outage    bool
 	keepUntil time.Time
@@ -61,22 +70,32 @@
 		s.config = n.Config
 		c.Config = true
 	}
-	if !n.Directory.Known() || s.listed.Known() && n.Directory.Revision < s.listed.Revision {
-		return c
+	if n.Departures != nil && (s.departures == nil || n.Departures.Revision >= s.departures.Revision) {
+		s.departures = n.Departures
+		c.Directory = true
 	}
-	if s.listed.Known() && n.Directory.Revision == s.listed.Revision && now.Before(s.keepUntil) {
-		return c
+	if n.Directory.Known() && (!s.listed.Known() || n.Directory.Revision >= s.listed.Revision) {
+		s.listed = n.Directory
+		c.Directory = true
 	}
-	s.listed = n.Directory
-	next := n.Directory
-	if now.Before(s.keepUntil) {
-		next = next.WithKept(s.missing(n.Directory))
+	if c.Directory {
+		s.combine(now)
 	}
-	s.directory = next
-	c.Directory = true
 	return c
 }
 
+// combine makes the directory in force from what was read.
+func (s *State) combine(now time.Time) {
+	if !s.listed.Known() || s.departures == nil {
+		return
+	}
+	next := s.listed
+	if now.Before(s.keepUntil) {
+		next = next.WithKept(s.missing(s.listed))
+	}
+	s.directory = next.WithDeparted(s.departures.Domains, s.departures.Revision)
+}
+
 // missing returns the targets in force that a directory no longer lists.
 func (s *State) missing(d site.Directory) []site.Target {
 	var lapsed []site.Target
@@ -87,3 +106,12 @@
 	}
 	return lapsed
 }
+
+// known returns the versions of what the state holds.
+func (s *State) known() known {
+	k := known{Version: s.config.Version, Revision: s.listed.Revision}
+	if s.departures != nil {
+		k.Departures = s.departures.Revision
+	}
+	return k
+}
--- /dev/null
+++ b/news/state_test.go
@@ -0,0 +1,89 @@
+package news_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+
+	"bergamotworks/news"
+	"bergamotworks/script"
+	"bergamotworks/site"
+)
+
+// stateCase plays news against one state.
+type stateCase struct {
+	Load  string      `json:"load"`
+	Steps []stateStep `json:"steps"`
+}
+
+// stateStep is one piece of news and what is in force after it.
+type stateStep struct {
+	AtMS   int64 `json:"at_ms"`
+	Failed bool  `json:"failed"` // The store could not be read.
+	Heard  bool  `json:"heard"`  // The news come from another node.
+	// Version, Targets and Departed are the news; a revision of zero leaves
+	// the targets or departures out.
+	Version     int64    `json:"version"`
+	Revision    int64    `json:"revision"`
+	Targets     []string `json:"targets"`
+	DepartedAt  int64    `json:"departed_at"`
+	Departed    []string `json:"departed"`
+	WantVersion int64    `json:"want_version"`
+	WantUsable  []string `json:"want_usable"`
+	WantNone    bool     `json:"want_none"` // No directory is in force.
+}
+
+func TestState(t *testing.T) {
+	script.Run(t, "testdata/*.json", testState)
+}
+
+func testState(t *testing.T, v stateCase) {
+	var s news.State
+	start := time.Unix(1000, 0)
+	for i, p := range v.Steps {
+		now := start.Add(time.Duration(p.AtMS) * time.Millisecond)
+		switch {
+		case p.Failed:
+			s.Failed()
+		case p.Heard:
+			s.Heard(now, p.snapshot())
+		default:
+			s.Read(now, p.snapshot())
+		}
+		var usable []string
+		for _, g := range s.Directory().Usable("svc") {
+			usable = append(usable, g.ID)
+		}
+		got := fmt.Sprint(s.Config().Version, " ", s.Directory().Known())
+		if diff := cmp.Diff(fmt.Sprint(p.WantVersion, " ", !p.WantNone), got); diff != "" {
+			t.Errorf("step %d: version, directory known (-want +got):\n%s", i, diff)
+		}
+		if diff := cmp.Diff(p.WantUsable, usable, cmpopts.EquateEmpty()); diff != "" {
+			t.Errorf("step %d: usable targets (-want +got):\n%s", i, diff)
+		}
+	}
+}
+
+// snapshot returns the news; a target is ID@domain.
+func (p stateStep) snapshot() news.Snapshot {
+	var n news.Snapshot
+	if p.Version > 0 {
+		n.Config = site.NewConfig(site.Config{Version: p.Version})
+	}
+	if p.DepartedAt > 0 {
+		n.Departures = &news.Departures{Domains: p.Departed, Revision: p.DepartedAt}
+	}
+	if p.Revision > 0 {
+		d := site.Directory{Revision: p.Revision}
+		for _, text := range p.Targets {
+			id, domain, _ := strings.Cut(text, "@")
+			d.Targets = append(d.Targets, site.Target{ID: id, Service: "svc", Domain: domain, Address: id})
+		}
+		n.Directory = site.NewDirectory(d)
+	}
+	return n
+}
--- a/pool/handover.go
+++ b/pool/handover.go
@@ -9,7 +9,7 @@
 // Handover is what a leaving owner passes on to the next one.
 type Handover struct {
 	Pool    string                   `json:"pool"`
-	Targets map[string]warm.State  `json:"targets"`
+	Targets map[string]warm.State    `json:"targets"`
 	Costs   map[string]time.Duration `json:"costs,omitempty"`
 }
 
--- a/pool/status.go
+++ b/pool/status.go
@@ -8,7 +8,7 @@
 
 // TargetStatus describes one target to operators.
 type TargetStatus struct {
-	Name  string       `json:"name"`
+	Name  string     `json:"name"`
 	Phase warm.Phase `json:"phase"`
 	// Cause says why the target last became cold.
 	Cause warm.Cause `json:"cause"`
--- a/serve/node.go
+++ b/serve/node.go
@@ -28,9 +28,6 @@
 	// cutOffAfter is the silence of the store and of all other nodes after
 	// which a node takes no new callers.
 	cutOffAfter = 6 * time.Second
-	// balancerWait is the time in which the balancer notices that a node is
-	// no longer ready.
-	balancerWait = 2200 * time.Millisecond
 	// endReserve is the part of the time for a planned stop that is left for
 	// closing connections.
 	endReserve   = 500 * time.Millisecond
@@ -60,18 +57,19 @@
 	once     sync.Once
 	built    error
 	stopping atomic.Bool
-	started  time.Time
+	context  context.Context
+	end      context.CancelFunc
 }
 
 // Run serves until the context ends or [Node.Stop] is done.
 func (n *Node) Run(ctx context.Context) error {
-	n.started = n.Clock.Now()
 	n.once.Do(func() { n.built = n.assemble() })
 	if n.built != nil {
 		return n.built
 	}
 	n.Log.WithFields(logrus.Fields{"domain": n.Settings.Domain, "listen": n.Settings.Listen, "peer": n.Settings.Peer}).Info("node starts")
-	group, ctx := errgroup.WithContext(ctx)
+	defer context.AfterFunc(ctx, n.end)()
+	group, ctx := errgroup.WithContext(n.context)
 	group.Go(func() error { return n.members.Run(ctx) })
 	group.Go(func() error { return n.peers.Run(ctx) })
 	group.Go(func() error { return n.news.Run(ctx) })
@@ -100,7 +98,7 @@
 		n.Log.WithField("error", err.Error()).Warn("leaving not announced")
 	}
 	n.batch.Leave()
-	n.sleep(ctx, balancerWait)
+	n.sleep(ctx, n.Settings.BalancerWait)
 	n.relay.Drain()
 	n.finish(ctx, begun.Add(n.Settings.StopTime-endReserve))
 	return n.close()
@@ -125,6 +123,7 @@
 
 func (n *Node) close() error {
 	connections, requests := n.relay.Active()
+	n.end()
 	err := trace.NewAggregate(n.relay.Close(), n.ready.Close(), n.batch.Close(), n.peers.Close(), n.members.Close())
 	n.Client.Close()
 	n.Log.WithFields(logrus.Fields{"connections_cut": connections, "requests_cut": requests}).Info("node stops")
@@ -168,6 +167,7 @@
 }
 
 func (n *Node) assemble() error {
+	n.context, n.end = context.WithCancel(context.Background())
 	callers, err := n.Network.Listen(n.Settings.Listen)
 	if err != nil {
 		return trace.Wrap(err)
--- a/serve/ready.go
+++ b/serve/ready.go
@@ -94,8 +94,11 @@
 func (r *readiness) Close() error {
 	var errs []error
 	for _, s := range []*fasthttp.Server{r.server, r.metrics} {
-		if s != nil {
-			errs = append(errs, s.Shutdown())
+		if s == nil {
+			continue
+		}
+		if err := s.Shutdown(); !errors.Is(err, net.ErrClosed) {
+			errs = append(errs, err)
 		}
 	}
 	_ = r.listener.Close() // It may be closed already.
--- a/serve/settings.go
+++ b/serve/settings.go
@@ -19,7 +19,10 @@
 	Peer          string        // Address for other nodes, TCP, IP:port.
 	Gossip        string        // Address for membership, UDP, IP:port.
 	StopTime      time.Duration // Time for a planned stop.
-	Bounds        relay.Bounds
+	// BalancerWait is the time in which the balancer notices that the node is no
+	// longer ready.
+	BalancerWait time.Duration
+	Bounds       relay.Bounds
 }
 
 // Check reports the first setting that is missing or wrong.
@@ -44,6 +47,9 @@
 	if s.StopTime <= 0 {
 		return fault.BadField("stop_time", "must be above zero")
 	}
+	if s.BalancerWait < 0 || s.BalancerWait >= s.StopTime {
+		return fault.BadField("balancer_wait", "must lie between zero and the time for a planned stop")
+	}
 	if s.Bounds.RetryShare < 0 || s.Bounds.RetrySlack < 0 || s.Bounds.RetryWindow <= 0 {
 		return fault.BadField("retry_window", "the retry bounds must not be negative, and the window must be above zero")
 	}
--- a/warm/target_test.go
+++ b/warm/target_test.go
@@ -23,14 +23,14 @@
 // targetStep runs a number of calls at once, each with the same end, or takes in
 // a report or an assumption.
 type targetStep struct {
-	AtMS   int64              `json:"at_ms"`
-	Calls  int                `json:"calls"`
-	Times  int                `json:"times"` // How often, one after another.
-	MS     int64              `json:"ms"`
+	AtMS   int64            `json:"at_ms"`
+	Calls  int              `json:"calls"`
+	Times  int              `json:"times"` // How often, one after another.
+	MS     int64            `json:"ms"`
 	Kind   warm.OutcomeKind `json:"kind"`
-	Assume int                `json:"assume"`
+	Assume int              `json:"assume"`
 	Report *warm.LoadReport `json:"report"`
-	Want   string             `json:"want"`
+	Want   string           `json:"want"`
 }
 
 func TestTarget(t *testing.T) {
--- a/wire/body.go
+++ b/wire/body.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"errors"
 	"io"
 	"net/http/httputil"
 )
@@ -45,7 +46,7 @@
 		b.answer.whole = true
 		return n, nil
 	}
-	if err == io.EOF {
+	if errors.Is(err, io.EOF) {
 		err = io.ErrUnexpectedEOF
 	}
 	return n, err
@@ -56,7 +57,7 @@
 func (b *body) end() error {
 	if b.left == chunked {
 		if err := skipTrailer(b.answer.conn.Reader); err != nil {
-			if err == io.EOF {
+			if errors.Is(err, io.EOF) {
 				return io.ErrUnexpectedEOF
 			}
 			return err
--- a/wire/client.go
+++ b/wire/client.go
@@ -47,6 +47,7 @@
 	Fresh bool
 	// Tag is the header that an answer repeats, and its value in the request.
 	// An answer with another value belongs to another request and is skipped.
+	// A refusal may come without the header.
 	Tag Header
 }
 
@@ -147,9 +148,13 @@
 		if err != nil {
 			return nil, err
 		}
-		if a.answers(call.Tag) {
+		value := a.Headers.Get(call.Tag.Name)
+		if call.Tag.Name == "" || value == call.Tag.Value || value == "" && a.Status >= 400 {
 			return a, nil
 		}
+		if value == "" {
+			return nil, errors.New("the answer names no request")
+		}
 		if _, err := io.Copy(io.Discard, a.Body); err != nil {
 			return nil, err
 		}
@@ -157,16 +162,6 @@
 	return nil, errors.New("the answers belong to other requests")
 }
 
-// answers reports whether an answer belongs to the request with the tag. An
-// answer without the tag counts if it refuses.
-func (a *Answer) answers(tag Header) bool {
-	if tag.Name == "" {
-		return true
-	}
-	value := a.Headers.Get(tag.Name)
-	return value == tag.Value || value == "" && a.Status >= 400
-}
-
 func writeCall(conn *Conn, call Call) error {
 	w := conn.Writer
 	_, _ = w.WriteString(call.Method + " " + call.URI + " HTTP/1.1\r\n") // Errors show up when the buffer is flushed.
--- a/wire/head.go
+++ b/wire/head.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"strconv"
 	"strings"
 
@@ -62,7 +63,7 @@
 	size := 1
 	for {
 		if _, err := r.Peek(size); err != nil {
-			if err == bufio.ErrBufferFull {
+			if errors.Is(err, bufio.ErrBufferFull) {
 				return "", nil, headTooLarge()
 			}
 			return "", nil, err
--- a/wire/request.go
+++ b/wire/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"net/http/httputil"
 	"strings"
@@ -95,7 +96,7 @@
 func (r *Reader) readChunks(q *Request, limit int64) error {
 	body, err := io.ReadAll(io.LimitReader(httputil.NewChunkedReader(r.Buffer), limit+1))
 	if err != nil {
-		if err == io.ErrUnexpectedEOF {
+		if errors.Is(err, io.ErrUnexpectedEOF) {
 			return err
 		}
 		return malformed("the chunked body: %s", err)
