Make pieces where the bytes lie that they read

Each piece of a stage reads every result of the stage before, so that results between zones were mostly the 60 kB results of the second stage, read by sixteen pieces elsewhere.

--- a/batch/message.go
+++ b/batch/message.go
@@ -16,7 +16,10 @@
 	Key     string   // What a piece without inputs is made of.
 	Inputs  []string // Handles of the results that each piece reads.
 	Bytes   int64    // Approximate size of a result.
-	Domain  string   // Failure domain in which the results are read; may be empty.
+	Domain  string   // Failure domain where the work is done best; may be empty.
+	// Crossing is the number of bytes that cross between failure domains if the
+	// work is done elsewhere.
+	Crossing int64
 	// Target is the time at which the stage should be done.
 	Target time.Time
 	// Deadline is the time after which nobody waits.
--- a/batch/table.go
+++ b/batch/table.go
@@ -10,12 +10,12 @@
 )
 
 const (
-	// domainWait is how long a piece with a large result waits for a target in
-	// the failure domain where the result is read.
+	// domainWait is how long work that moves many bytes waits for a target in
+	// its failure domain.
 	domainWait = 150 * time.Millisecond
-	// largeResult is the size in bytes from which a result is kept in its
+	// largeCrossing is the number of bytes from which work waits for its
 	// failure domain.
-	largeResult = 256 << 10
+	largeCrossing = 256 << 10
 	// restTime is how long a target takes no calls after one failed.
 	restTime = 500 * time.Millisecond
 	// fullTime is how long a target takes no calls after it had no room.
--- a/batch/table_test.go
+++ b/batch/table_test.go
@@ -110,7 +110,8 @@
 	case s.Submit != nil:
 		_, err := table.Submit(now, batch.Work{
 			Service: "plan", Request: s.Submit.Request, Pieces: s.Submit.Pieces, Bytes: s.Submit.Bytes, Domain: s.Submit.Domain,
-			Target: start.Add(ms(s.Submit.TargetMS)), Deadline: start.Add(ms(s.Submit.DeadlineMS)),
+			Crossing: s.Submit.Bytes * int64(s.Submit.Pieces),
+			Target:   start.Add(ms(s.Submit.TargetMS)), Deadline: start.Add(ms(s.Submit.DeadlineMS)),
 		})
 		return err
 	case s.Ended != nil:
--- a/batch/worker.go
+++ b/batch/worker.go
@@ -150,12 +150,12 @@
 	return strings.Compare(k.target.ID, best.target.ID) < 0
 }
 
-// nearness counts the bytes of results that stay in their failure domain.
+// nearness counts the bytes that stay in their failure domain.
 func nearness(k *worker, pieces []*piece) int64 {
 	var sum int64
 	for _, p := range pieces {
 		if p.group.work.Domain == k.target.Domain {
-			sum += p.group.work.Bytes
+			sum += p.group.work.Crossing / int64(p.group.work.Pieces)
 		}
 	}
 	return sum
@@ -179,11 +179,11 @@
 	return fitting
 }
 
-// waitsForDomain reports whether a piece with a large result still waits for a
-// worker in the failure domain where the result is read.
+// waitsForDomain reports whether a piece of work that moves many bytes still
+// waits for a worker in its failure domain.
 func (t *Table) waitsForDomain(now time.Time, p *piece, k *worker) bool {
 	w := p.group.work
-	if w.Bytes < largeResult || w.Domain == "" || w.Domain == k.target.Domain {
+	if w.Crossing < largeCrossing || w.Domain == "" || w.Domain == k.target.Domain {
 		return false
 	}
 	return now.Sub(p.group.since) < domainWait && t.hasWorkerIn(w.Domain)
--- a/relay/stages.go
+++ b/relay/stages.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 
 	"bergamotworks/batch"
 	"bergamotworks/fault"
@@ -107,20 +108,67 @@
 	return true
 }
 
+// work returns the pieces of a stage as work. Domain is the failure domain of
+// the target that will have the request.
 func (j *job) work(i int, stage site.Stage, domain string) batch.Work {
 	w := batch.Work{
 		Service: stage.Service, Request: j.id, Stage: i, Pieces: j.counts[i], Bytes: stage.Bytes,
-		Domain: domain, Target: j.arrived.Add(j.route.Target), Deadline: j.limit, Priority: j.urgency(),
+		Domain: domain, Crossing: j.bytesOut(i), Target: j.arrived.Add(j.route.Target), Deadline: j.limit, Priority: j.urgency(),
 	}
 	for _, a := range stage.After {
 		w.Inputs = append(w.Inputs, j.results[a]...)
 	}
 	if len(w.Inputs) == 0 {
 		w.Key = j.request.Headers.Get(j.server.Names.PieceKey)
+		return w
+	}
+	if in := j.bytesIn(i); in > w.Crossing {
+		w.Domain, w.Crossing = j.inputDomain(w.Inputs), in
 	}
 	return w
 }
 
+// bytesIn returns the bytes that the pieces of a stage read; each piece reads
+// all its inputs.
+func (j *job) bytesIn(i int) int64 {
+	var sum int64
+	for _, a := range j.route.Stages[i].After {
+		sum += int64(j.counts[a]) * j.route.Stages[a].Bytes
+	}
+	return int64(j.counts[i]) * sum
+}
+
+// bytesOut returns the bytes that are read of the results of a stage.
+func (j *job) bytesOut(i int) int64 {
+	own := int64(j.counts[i]) * j.route.Stages[i].Bytes
+	readers := 0
+	for c, s := range j.route.Stages {
+		if slices.Contains(s.After, i) {
+			readers += j.counts[c]
+		}
+	}
+	return own * int64(max(readers, 1))
+}
+
+// inputDomain returns the failure domain where most of the results lie. A
+// handle begins with the address of its maker.
+func (j *job) inputDomain(handles []string) string {
+	directory := j.server.Directory()
+	counts := make(map[string]int)
+	best := ""
+	for _, h := range handles {
+		address, _, _ := strings.Cut(h, "/")
+		g, ok := directory.At(address)
+		if !ok {
+			continue
+		}
+		if counts[g.Domain]++; counts[g.Domain] > counts[best] {
+			best = g.Domain
+		}
+	}
+	return best
+}
+
 // engineDomain returns the failure domain of the target that would have the
 // request now, so that large results are made there.
 func (j *job) engineDomain() string {
--- a/site/directory.go
+++ b/site/directory.go
@@ -29,6 +29,7 @@
 
 	byService map[string][]Target
 	byID      map[string]Target
+	byAddress map[string]Target
 }
 
 // NewDirectory returns the directory with its indexes built.
@@ -37,8 +38,10 @@
 	slices.SortFunc(d.Targets, func(a, b Target) int { return strings.Compare(a.ID, b.ID) })
 	d.byService = make(map[string][]Target)
 	d.byID = make(map[string]Target)
+	d.byAddress = make(map[string]Target)
 	for _, t := range d.Targets {
 		d.byID[t.ID] = t
+		d.byAddress[t.Address] = t
 		if !t.Leaving && !d.Departed[t.Domain] {
 			d.byService[t.Service] = append(d.byService[t.Service], t)
 		}
@@ -59,6 +62,12 @@
 	return t, ok
 }
 
+// At returns the target with the address.
+func (d Directory) At(address string) (Target, bool) {
+	t, ok := d.byAddress[address]
+	return t, ok
+}
+
 // WithDeparted returns a copy in which exactly the given failure domains are
 // taken out, as of a revision of the store.
 func (d Directory) WithDeparted(domains []string, revision int64) Directory {
