Serve stage work in time first and bound late work

Now work that can meet its target goes first, by priority, late work takes what is left and is refused once too much is ahead; stages are made once more if a result is gone.

--- a/batch/message.go
+++ b/batch/message.go
@@ -20,10 +20,12 @@
 	// Crossing is the number of bytes that cross between failure domains if the
 	// work is done elsewhere.
 	Crossing int64
-	// Target is the time at which the stage should be done.
-	Target time.Time
-	// Deadline is the time after which nobody waits.
+	// Target is the time at which the whole request should be answered, and
+	// Deadline the time after which nobody waits.
+	Target   time.Time
 	Deadline time.Time
+	// Rest is the time that the request needs after this stage.
+	Rest     time.Duration
 	Priority int // Zero is the most urgent.
 }
 
--- /dev/null
+++ b/batch/order.go
@@ -0,0 +1,94 @@
+package batch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Under more load than the targets bear, work that can still meet its latency
+// target goes before work that cannot, so that a burst does not make every
+// request late. Late work takes what capacity is left.
+
+const (
+	// unknownWait is the forecast for a service without targets.
+	unknownWait = time.Second
+	// lateShare is the part of the time to its deadline that late work may
+	// have ahead of it when it is entered.
+	lateShare = 0.5
+)
+
+// callTime returns the time of a call with a number of pieces, or with as many
+// as fit.
+func (t *Table) callTime(pieces int) time.Duration {
+	return t.Limits.CallTime + time.Duration(min(pieces, max(t.Limits.Size, 1)))*t.Limits.PieceTime
+}
+
+// late reports whether work that is started now misses its latency target.
+func (t *Table) late(now time.Time, w Work) bool {
+	return now.Add(t.callTime(w.Pieces) + w.Rest).After(w.Target)
+}
+
+// compare orders groups: those in time by priority and latency target, then
+// the late ones by deadline.
+func (t *Table) compare(now time.Time, a, b *group) int {
+	lateA, lateB := t.late(now, a.work), t.late(now, b.work)
+	if lateA != lateB {
+		if lateB {
+			return -1
+		}
+		return 1
+	}
+	if lateA {
+		return cmp.Or(a.work.Deadline.Compare(b.work.Deadline), cmp.Compare(a.id, b.id))
+	}
+	return cmp.Or(
+		cmp.Compare(a.work.Priority, b.work.Priority),
+		a.work.Target.Compare(b.work.Target),
+		cmp.Compare(a.id, b.id),
+	)
+}
+
+// sort brings the queue into the order in which it is sent.
+func (t *Table) sort(now time.Time) {
+	t.queue = slices.DeleteFunc(t.queue, func(g *group) bool { return len(g.waiting) == 0 })
+	slices.SortFunc(t.queue, func(a, b *group) int { return t.compare(now, a, b) })
+}
+
+// forecast returns the time until new work begins under the present load, and
+// whether it is worth entering: it meets its latency target, or its deadline
+// with room for what comes before it.
+func (t *Table) forecast(now time.Time, w Work) (time.Duration, bool) {
+	usable := 0
+	for _, k := range t.workers {
+		if k.usable {
+			usable++
+		}
+	}
+	if usable == 0 {
+		return unknownWait, false
+	}
+	entered := &group{id: t.nextID + 1, work: w}
+	before, all := 0, 0
+	for _, g := range t.queue {
+		all += len(g.waiting)
+		if t.compare(now, g, entered) < 0 {
+			before += len(g.waiting)
+		}
+	}
+	needed := t.callTime(w.Pieces) + w.Rest
+	wait := t.clearTime(before, usable)
+	if end := now.Add(wait + needed); !end.After(w.Target) && !end.After(w.Deadline) {
+		return wait, true
+	}
+	wait = t.clearTime(all, usable)
+	spare := w.Deadline.Sub(now) - needed
+	return wait, spare >= 0 && wait <= time.Duration(lateShare*float64(spare))
+}
+
+// clearTime returns the time that the targets need for a number of pieces.
+func (t *Table) clearTime(pieces, usable int) time.Duration {
+	size := max(t.Limits.Size, 1)
+	parallel := usable * max(t.Limits.Slots, 1)
+	return time.Duration(float64(pieces) / float64(size*parallel) * float64(t.callTime(size)))
+}
--- a/batch/table.go
+++ b/batch/table.go
@@ -1,7 +1,6 @@
 package batch
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -29,7 +28,7 @@
 	Limits site.Batch
 
 	groups  map[uint64]*group
-	waiting []*piece // In the order in which they are sent.
+	queue   []*group // Those with waiting pieces.
 	workers map[string]*worker
 	nextID  uint64
 	nextRun uint64
@@ -41,9 +40,9 @@
 	id      uint64
 	work    Work
 	since   time.Time
+	waiting []*piece
 	handles []string
 	left    int
-	sent    bool // A piece has been sent.
 }
 
 // piece is one piece of a group.
@@ -87,68 +86,24 @@
 // Submit enters work and returns its number. Work that cannot end before its
 // deadline is refused.
 func (t *Table) Submit(now time.Time, w Work) (uint64, error) {
-	if wait, ok := t.forecast(w); !ok || now.Add(wait).After(w.Deadline) {
+	wait, ok := t.forecast(now, w)
+	if !ok {
 		return 0, fault.New(fault.Busy, fault.NotRun, "%s needs %s for %d pieces", w.Service, wait, w.Pieces).WithRetryAfter(wait)
 	}
 	t.nextID++
 	g := &group{id: t.nextID, work: w, since: now, handles: make([]string, w.Pieces), left: w.Pieces}
+	for i := range w.Pieces {
+		g.waiting = append(g.waiting, &piece{group: g, index: i})
+	}
 	if t.groups == nil {
 		t.groups = make(map[uint64]*group)
 	}
 	t.groups[g.id] = g
-	for i := range w.Pieces {
-		t.enqueue(&piece{group: g, index: i})
-	}
+	t.queue = append(t.queue, g)
 	t.dispatch(now)
 	return g.id, nil
 }
 
-// unknownWait is the forecast for a service without targets.
-const unknownWait = time.Second
-
-// forecast returns the time that new work takes under the present load, and
-// whether there is a target for it.
-func (t *Table) forecast(w Work) (time.Duration, bool) {
-	usable := 0
-	for _, k := range t.workers {
-		if k.usable {
-			usable++
-		}
-	}
-	if usable == 0 {
-		return unknownWait, false
-	}
-	ahead := 0
-	for _, p := range t.waiting {
-		if t.before(p.group, w) {
-			ahead++
-		}
-	}
-	size := max(t.Limits.Size, 1)
-	full := t.Limits.CallTime + time.Duration(size)*t.Limits.PieceTime
-	rounds := ahead / (size * usable * max(t.Limits.Slots, 1))
-	last := t.Limits.CallTime + time.Duration(min(w.Pieces, size))*t.Limits.PieceTime
-	return time.Duration(rounds)*full + last, true
-}
-
-func (t *Table) before(g *group, w Work) bool { return !g.work.Target.After(w.Target) }
-
-func (t *Table) enqueue(p *piece) {
-	at, _ := slices.BinarySearchFunc(t.waiting, p, comparePieces)
-	t.waiting = slices.Insert(t.waiting, at, p)
-}
-
-// comparePieces orders by latency target, then by arrival.
-func comparePieces(a, b *piece) int {
-	if c := a.group.work.Target.Compare(b.group.work.Target); c != 0 {
-		return c
-	}
-	if c := cmp.Compare(a.group.id, b.group.id); c != 0 {
-		return c
-	}
-	return cmp.Compare(a.index, b.index)
-}
-
 // Cancel gives up a group that nobody waits for.
 func (t *Table) Cancel(now time.Time, id uint64) {
 	if g := t.groups[id]; g != nil {
@@ -201,11 +156,12 @@
 	t.dispatch(now)
 }
 
-// Tick drops what is overdue and starts what has become possible.
+// Tick drops what cannot end any more and starts what has become possible.
 func (t *Table) Tick(now time.Time) {
 	for _, g := range t.groups {
-		if !now.Before(g.work.Deadline) {
-			t.fail(g, fault.New(fault.DeadlineExceeded, fault.NotRun, "%s did not finish in time", g.work.Service))
+		hopeless := len(g.waiting) > 0 && now.Add(t.callTime(g.work.Pieces)+g.work.Rest).After(g.work.Deadline)
+		if hopeless || !now.Before(g.work.Deadline) {
+			t.fail(g, fault.New(fault.DeadlineExceeded, fault.NotRun, "%s cannot finish in time", g.work.Service))
 		}
 	}
 	t.dispatch(now)
@@ -219,7 +175,13 @@
 }
 
 // Waiting returns the number of pieces that wait.
-func (t *Table) Waiting() int { return len(t.waiting) }
+func (t *Table) Waiting() int {
+	n := 0
+	for _, g := range t.queue {
+		n += len(g.waiting)
+	}
+	return n
+}
 
 // Take returns the actions since the last call.
 func (t *Table) Take() []Action {
@@ -231,7 +193,7 @@
 // drop removes a group and gives up what it has.
 func (t *Table) drop(g *group) {
 	delete(t.groups, g.id)
-	t.waiting = slices.DeleteFunc(t.waiting, func(p *piece) bool { return p.group == g })
+	t.queue = slices.DeleteFunc(t.queue, func(q *group) bool { return q == g })
 	made := slices.DeleteFunc(slices.Clone(g.handles), func(h string) bool { return h == "" })
 	for _, h := range made {
 		if k := t.workers[ownerOf(t, h)]; k != nil {
--- a/batch/table_test.go
+++ b/batch/table_test.go
@@ -56,6 +56,8 @@
 	Domain     string `json:"domain"`
 	TargetMS   int64  `json:"target_ms"`
 	DeadlineMS int64  `json:"deadline_ms"`
+	RestMS     int64  `json:"rest_ms"`
+	Priority   int    `json:"priority"`
 }
 
 // endSpec ends a call; a result is a handle, or a reason after an exclamation mark.
@@ -111,7 +113,8 @@
 		_, err := table.Submit(now, batch.Work{
 			Service: "plan", Request: s.Submit.Request, Pieces: s.Submit.Pieces, Bytes: s.Submit.Bytes, Domain: s.Submit.Domain,
 			Crossing: s.Submit.Bytes * int64(s.Submit.Pieces),
-			Target:   start.Add(ms(s.Submit.TargetMS)), Deadline: start.Add(ms(s.Submit.DeadlineMS)),
+			Rest:     ms(s.Submit.RestMS), Priority: s.Submit.Priority,
+			Target: start.Add(ms(s.Submit.TargetMS)), Deadline: start.Add(ms(s.Submit.DeadlineMS)),
 		})
 		return err
 	case s.Ended != nil:
--- a/batch/worker.go
+++ b/batch/worker.go
@@ -107,7 +107,8 @@
 
 // dispatch starts every call that is possible now.
 func (t *Table) dispatch(now time.Time) {
-	for len(t.waiting) > 0 {
+	for {
+		t.sort(now)
 		best, pieces := t.bestCall(now)
 		if best == nil {
 			return
@@ -136,8 +137,9 @@
 	return best, chosen
 }
 
+// better reports whether a call comes before the best one so far.
 func (t *Table) better(k *worker, pieces []*piece, best *worker, chosen []*piece) bool {
-	if c := comparePieces(pieces[0], chosen[0]); c != 0 {
+	if c := slices.Index(t.queue, pieces[0].group) - slices.Index(t.queue, chosen[0].group); c != 0 {
 		return c < 0
 	}
 	near, bestNear := nearness(k, pieces), nearness(best, chosen)
@@ -163,30 +165,35 @@
 
 // fit returns the pieces that a worker would take now.
 func (t *Table) fit(now time.Time, k *worker) []*piece {
+	size := max(t.Limits.Size, 1)
 	room := k.room(now, t.Limits.RoomBytes)
 	var fitting []*piece
-	for _, p := range t.waiting {
-		if len(fitting) == max(t.Limits.Size, 1) {
-			break
-		}
-		w := p.group.work
-		if w.Bytes > room || t.waitsForDomain(now, p, k) {
+	for _, g := range t.queue {
+		if t.waitsForDomain(now, g, k) {
 			continue
 		}
-		room -= w.Bytes
-		fitting = append(fitting, p)
+		for _, p := range g.waiting {
+			if len(fitting) == size {
+				return fitting
+			}
+			if g.work.Bytes > room {
+				break
+			}
+			room -= g.work.Bytes
+			fitting = append(fitting, p)
+		}
 	}
 	return fitting
 }
 
-// waitsForDomain reports whether a piece of work that moves many bytes still
-// waits for a worker in its failure domain.
-func (t *Table) waitsForDomain(now time.Time, p *piece, k *worker) bool {
-	w := p.group.work
+// waitsForDomain reports whether work that moves many bytes still waits for a
+// worker in its failure domain.
+func (t *Table) waitsForDomain(now time.Time, g *group, k *worker) bool {
+	w := g.work
 	if w.Crossing < largeCrossing || w.Domain == "" || w.Domain == k.target.Domain {
 		return false
 	}
-	return now.Sub(p.group.since) < domainWait && t.hasWorkerIn(w.Domain)
+	return now.Sub(g.since) < domainWait && t.hasWorkerIn(w.Domain)
 }
 
 func (t *Table) hasWorkerIn(domain string) bool {
@@ -204,7 +211,7 @@
 	call := Start{Run: r.id, Target: k.target}
 	for _, p := range pieces {
 		p.tries++
-		p.group.sent = true
+		p.group.waiting = slices.DeleteFunc(p.group.waiting, func(q *piece) bool { return q == p })
 		w := p.group.work
 		r.bytes += w.Bytes
 		call.Pieces = append(call.Pieces, Piece{
@@ -213,7 +220,6 @@
 		})
 	}
 	k.running[r.id] = r
-	t.waiting = slices.DeleteFunc(t.waiting, func(p *piece) bool { return slices.Contains(pieces, p) })
 	t.actions = append(t.actions, call)
 }
 
@@ -297,5 +303,8 @@
 		t.fail(p.group, fault.New(fault.TargetFailed, fault.NotRun, "a piece of %s failed %d times: %v", p.group.work.Service, p.tries, cause))
 		return
 	}
-	t.enqueue(p)
+	if len(p.group.waiting) == 0 && !slices.Contains(t.queue, p.group) {
+		t.queue = append(t.queue, p.group)
+	}
+	p.group.waiting = append(p.group.waiting, p)
 }
--- a/relay/job.go
+++ b/relay/job.go
@@ -38,7 +38,6 @@
 	account site.Account
 	counts  []int // Pieces of each stage.
 	results [][]string
-	freed   bool
 	// prepaid says that the next send has been taken out of the budget.
 	prepaid   bool
 	lastEvent int64 // Identifier of the last event that was passed on.
--- a/relay/stages.go
+++ b/relay/stages.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"strings"
+	"time"
 
 	"bergamotworks/batch"
 	"bergamotworks/fault"
@@ -34,12 +35,32 @@
 	r.ended <- stageEnd{stage: r.stage, handles: made, err: err}
 }
 
+// maxRemade bounds how often the stages are made again after a result of them
+// was gone before it was read.
+const maxRemade = 1
+
 // runStages has the pieces of all stages made, each stage after those whose
 // results it reads.
 func (j *job) runStages(ctx context.Context) error {
 	if len(j.route.Stages) == 0 {
 		return nil
 	}
+	var err error
+	for range maxRemade + 1 {
+		err = j.makeStages(ctx)
+		if err == nil || fault.From(err).Kind != fault.NotFound {
+			break
+		}
+		j.free()
+	}
+	j.staged = j.server.Clock.Now().Sub(j.arrived)
+	if err != nil {
+		return j.stageFailure(err)
+	}
+	return nil
+}
+
+func (j *job) makeStages(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	j.results = make([][]string, len(j.route.Stages))
@@ -53,7 +74,7 @@
 			running += j.beginStages(ctx, begun, ended, domain)
 		}
 		if running == 0 {
-			break
+			return failure
 		}
 		e := <-ended
 		running--
@@ -66,11 +87,6 @@
 			j.freeRead(e.stage)
 		}
 	}
-	j.staged = j.server.Clock.Now().Sub(j.arrived)
-	if failure != nil {
-		return j.stageFailure(failure)
-	}
-	return nil
 }
 
 // stageFailure returns the refusal of a request whose stages failed. The
@@ -113,7 +129,7 @@
 func (j *job) work(i int, stage site.Stage, domain string) batch.Work {
 	w := batch.Work{
 		Service: stage.Service, Request: j.id, Stage: i, Pieces: j.counts[i], Bytes: stage.Bytes,
-		Domain: domain, Crossing: j.bytesOut(i), Target: j.arrived.Add(j.route.Target), Deadline: j.limit, Priority: j.urgency(),
+		Domain: domain, Crossing: j.bytesOut(i), Rest: j.rest(i), Target: j.arrived.Add(j.route.Target), Deadline: j.limit, Priority: j.urgency(),
 	}
 	for _, a := range stage.After {
 		w.Inputs = append(w.Inputs, j.results[a]...)
@@ -128,6 +144,28 @@
 	return w
 }
 
+// The times that a request needs beyond the calls of its stages.
+const (
+	engineTime = 150 * time.Millisecond // From the last result to the answer.
+	stageSlack = 50 * time.Millisecond  // Wait of a stage's pieces on a calm day.
+)
+
+// rest returns the time that the request needs after a stage.
+func (j *job) rest(i int) time.Duration {
+	longest := engineTime
+	for c, s := range j.route.Stages {
+		if j.counts[c] == 0 || !slices.Contains(s.After, i) {
+			continue
+		}
+		own := stageSlack
+		if service, ok := j.config.Service(s.Service); ok && service.Batch != nil {
+			own += service.Batch.CallTime + time.Duration(min(j.counts[c], service.Batch.Size))*service.Batch.PieceTime
+		}
+		longest = max(longest, own+j.rest(c))
+	}
+	return longest
+}
+
 // bytesIn returns the bytes that the pieces of a stage read; each piece reads
 // all its inputs.
 func (j *job) bytesIn(i int) int64 {
@@ -205,6 +243,9 @@
 
 // inputs returns the handles of the results that the request itself reads.
 func (j *job) inputs() []string {
+	if j.results == nil {
+		return nil
+	}
 	var list []string
 	for _, i := range j.route.Final(j.counts) {
 		list = append(list, j.results[i]...)
@@ -214,15 +255,12 @@
 
 // free gives up all results of the request that are left.
 func (j *job) free() {
-	if j.freed || j.results == nil {
-		return
-	}
-	j.freed = true
 	for i, list := range j.results {
 		if len(list) > 0 {
 			j.server.Stages.Release(j.route.Stages[i].Service, list)
 		}
 	}
+	j.results = nil
 }
 
 // need describes the request to the choice of a target.
