--- a/relay/job.go
+++ b/relay/job.go
@@ -32,6 +32,7 @@
 	id      string
 	arrived time.Time
 	limit   time.Time // Time at which the request is given up.
+	stageBy time.Time // Time at which the stages are given up.
 	config  site.Config
 	route   site.Route
 	service string
@@ -137,6 +138,10 @@
 		return fault.New(fault.DeadlineExceeded, fault.NotRun, "the deadline has passed")
 	}
 	j.limit = j.arrived.Add(wait)
+	j.stageBy = j.limit
+	if p := j.route.Patience; p > 0 && p < wait {
+		j.stageBy = j.arrived.Add(p)
+	}
 	return nil
 }
 
--- a/relay/stages.go
+++ b/relay/stages.go
@@ -129,7 +129,7 @@
 func (j *job) work(i int, stage site.Stage, domain string) batch.Work {
 	w := batch.Work{
 		Service: stage.Service, Request: j.id, Stage: i, Pieces: j.counts[i], Bytes: stage.Bytes,
-		Domain: domain, Crossing: j.bytesOut(i), Rest: j.rest(i), Target: j.arrived.Add(j.route.Target), Deadline: j.limit, Priority: j.urgency(),
+		Domain: domain, Crossing: j.bytesOut(i), Rest: j.rest(i), Target: j.arrived.Add(j.route.Target), Deadline: j.stageBy, Priority: j.urgency(),
 	}
 	for _, a := range stage.After {
 		w.Inputs = append(w.Inputs, j.results[a]...)
--- a/site/config.go
+++ b/site/config.go
@@ -23,15 +23,18 @@
 
 // Route leads requests of one host and path prefix to a service.
 type Route struct {
-	Name      string        `json:"name"`
-	Host      string        `json:"host"`
-	Prefix    string        `json:"prefix"` // Begins and ends with a slash.
-	Kind      Kind          `json:"kind"`
-	Timeout   time.Duration `json:"timeout_ns"` // Longest time that a request is kept waiting.
-	Target    time.Duration `json:"target_ns"`  // Latency target.
-	Gap       time.Duration `json:"gap_ns"`     // Longest pause between two events of a stream.
-	Priority  int           `json:"priority"`   // Zero is the most urgent.
-	Attempts  int           `json:"attempts"`   // Targets that one request may be sent to, at most.
+	Name    string        `json:"name"`
+	Host    string        `json:"host"`
+	Prefix  string        `json:"prefix"` // Begins and ends with a slash.
+	Kind    Kind          `json:"kind"`
+	Timeout time.Duration `json:"timeout_ns"` // Longest time that a request is kept waiting.
+	Target  time.Duration `json:"target_ns"`  // Latency target.
+	Gap     time.Duration `json:"gap_ns"`     // Longest pause between two events of a stream.
+	// Patience is the time for which callers wait for the first event of a stream;
+	// zero means until their deadline.
+	Patience  time.Duration `json:"patience_ns"`
+	Priority  int           `json:"priority"` // Zero is the most urgent.
+	Attempts  int           `json:"attempts"` // Targets that one request may be sent to, at most.
 	Backends  []Backend     `json:"backends"`
 	Stages    []Stage       `json:"stages,omitempty"`
 	Public    bool          `json:"public,omitempty"`    // No client account is needed.
