--- a/batch/order.go
+++ b/batch/order.go
@@ -13,9 +13,11 @@
 const (
 	// unknownWait is the forecast for a service without targets.
 	unknownWait = time.Second
-	// lateShare is the part of the time to its deadline that late work may
-	// have ahead of it when it is entered.
-	lateShare = 0.5
+	// begunShare and freshShare are the parts of the time to its deadline that
+	// late work may have ahead of it when it is entered. Work that reads results
+	// would waste them.
+	begunShare = 0.5
+	freshShare = 0.2
 )
 
 // callTime returns the time of a call with a number of pieces, or with as many
@@ -29,9 +31,19 @@
 	return now.Add(t.callTime(w.Pieces) + w.Rest).After(w.Target)
 }
 
-// compare orders groups: those in time by priority and latency target, then
-// the late ones by deadline.
+// begun reports whether pieces of a group have been sent. Their results take
+// memory until the last piece is made.
+func (g *group) begun() bool { return len(g.waiting) < g.work.Pieces }
+
+// compare orders groups: those that are begun, then those in time by priority
+// and latency target, then the late ones by deadline.
 func (t *Table) compare(now time.Time, a, b *group) int {
+	if a.begun() != b.begun() {
+		if a.begun() {
+			return -1
+		}
+		return 1
+	}
 	lateA, lateB := t.late(now, a.work), t.late(now, b.work)
 	if lateA != lateB {
 		if lateB {
@@ -59,16 +71,11 @@
 // whether it is worth entering: it meets its latency target, or its deadline
 // with room for what comes before it.
 func (t *Table) forecast(now time.Time, w Work) (time.Duration, bool) {
-	usable := 0
-	for _, k := range t.workers {
-		if k.usable {
-			usable++
-		}
-	}
+	usable := t.usable()
 	if usable == 0 {
 		return unknownWait, false
 	}
-	entered := &group{id: t.nextID + 1, work: w}
+	entered := &group{id: t.nextID + 1, work: w, waiting: make([]*piece, w.Pieces)}
 	before, all := 0, 0
 	for _, g := range t.queue {
 		all += len(g.waiting)
@@ -83,7 +90,37 @@
 	}
 	wait = t.clearTime(all, usable)
 	spare := w.Deadline.Sub(now) - needed
-	return wait, spare >= 0 && wait <= time.Duration(lateShare*float64(spare))
+	share := freshShare
+	if len(w.Inputs) > 0 {
+		share = begunShare
+	}
+	return wait, spare >= 0 && wait <= time.Duration(share*float64(spare))
+}
+
+// Wait returns the time until work that is entered now begins, if it is in time
+// and as urgent as what waits.
+func (t *Table) Wait(now time.Time) time.Duration {
+	usable, before := t.usable(), 0
+	if usable == 0 {
+		return unknownWait
+	}
+	for _, g := range t.queue {
+		if !t.late(now, g.work) {
+			before += len(g.waiting)
+		}
+	}
+	return t.clearTime(before, usable)
+}
+
+// usable returns the number of targets that take new calls.
+func (t *Table) usable() int {
+	n := 0
+	for _, k := range t.workers {
+		if k.usable {
+			n++
+		}
+	}
+	return n
 }
 
 // clearTime returns the time that the targets need for a number of pieces.
--- a/batch/service.go
+++ b/batch/service.go
@@ -47,6 +47,7 @@
 
 	mutex   sync.Mutex
 	tables  map[string]*gathered
+	waits   map[string]toldWait
 	leaving bool
 	running sync.WaitGroup
 	base    context.Context
@@ -73,10 +74,19 @@
 type handles struct {
 	Service string   `json:"service,omitempty"`
 	Handles []string `json:"handles"`
+	// Wait is the time until work that is entered now begins.
+	Wait time.Duration `json:"wait_ns,omitempty"`
+}
+
+// toldWait is the wait at a service as its owner told it.
+type toldWait struct {
+	wait time.Duration
+	at   time.Time
 }
 
 func (s *Service) init() {
 	s.tables = make(map[string]*gathered)
+	s.waits = make(map[string]toldWait)
 	s.base, s.stop = context.WithCancel(context.Background())
 }
 
@@ -144,17 +154,39 @@
 func (s *Service) submitOnce(ctx context.Context, w Work) ([]string, error) {
 	vm, ok := s.View().Owner(ownerPrefix + w.Service)
 	if !ok || vm.ID == s.Self {
-		return s.gather(ctx, w)
+		made, err := s.gather(ctx, w)
+		s.told(w.Service, s.ownWait(w.Service))
+		return made, err
 	}
 	now := s.Clock.Now()
 	params := submission{Work: w, TargetLeft: w.Target.Sub(now), DeadlineLeft: w.Deadline.Sub(now)}
 	var answer handles
 	if err := s.Peers.Call(ctx, vm.ID, MethodSubmit, params, &answer); err != nil {
+		if e := fault.From(err); e.Kind == fault.Busy {
+			s.told(w.Service, e.RetryAfter)
+		}
 		return nil, err
 	}
+	s.told(w.Service, answer.Wait)
 	return answer.Handles, nil
 }
 
+func (s *Service) told(service string, wait time.Duration) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.waits[service] = toldWait{wait: wait, at: s.Clock.Now()}
+}
+
+// Wait returns the time until work of a service begins, as last told by its
+// owner, less the time since.
+func (s *Service) Wait(service string) time.Duration {
+	s.once.Do(s.init)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	told := s.waits[service]
+	return max(0, told.wait-s.Clock.Now().Sub(told.at))
+}
+
 // HandleSubmit gathers work of another node.
 func (s *Service) HandleSubmit(ctx context.Context, p submission) (handles, error) {
 	s.once.Do(s.init)
@@ -162,7 +194,18 @@
 	p.Target = now.Add(p.TargetLeft)
 	p.Deadline = now.Add(p.DeadlineLeft)
 	made, err := s.gather(ctx, p.Work)
-	return handles{Handles: made}, err
+	return handles{Handles: made, Wait: s.ownWait(p.Service)}, err
+}
+
+// ownWait returns the wait at a service that this VM gathers for.
+func (s *Service) ownWait(service string) time.Duration {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	g := s.tables[service]
+	if g == nil {
+		return 0
+	}
+	return g.table.Wait(s.Clock.Now())
 }
 
 // gather enters work into the own table and waits for its results.
--- a/relay/server.go
+++ b/relay/server.go
@@ -25,6 +25,8 @@
 type Stages interface {
 	// Do returns the handles of the pieces in order.
 	Do(ctx context.Context, w batch.Work) ([]string, error)
+	// Wait returns the time until work of a service begins.
+	Wait(service string) time.Duration
 	// Release gives up results of a service.
 	Release(service string, handles []string)
 }
--- a/relay/stages.go
+++ b/relay/stages.go
@@ -157,7 +157,7 @@
 		if j.counts[c] == 0 || !slices.Contains(s.After, i) {
 			continue
 		}
-		own := stageSlack
+		own := max(stageSlack, j.server.Stages.Wait(s.Service))
 		if service, ok := j.config.Service(s.Service); ok && service.Batch != nil {
 			own += service.Batch.CallTime + time.Duration(min(j.counts[c], service.Batch.Size))*service.Batch.PieceTime
 		}
