--- a/batch/table.go
+++ b/batch/table.go
@@ -88,7 +88,8 @@
 func (t *Table) Submit(now time.Time, w Work) (uint64, error) {
 	wait, ok := t.forecast(now, w)
 	if !ok {
-		return 0, fault.New(fault.Busy, fault.NotRun, "%s needs %s for %d pieces", w.Service, wait, w.Pieces).WithRetryAfter(wait)
+		return 0, fault.New(fault.Busy, fault.NotRun, "%s begins %d pieces in %s and the rest takes %s, with %s to the target and %s to the deadline",
+			w.Service, w.Pieces, wait.Round(time.Millisecond), w.Rest, w.Target.Sub(now).Round(time.Millisecond), w.Deadline.Sub(now).Round(time.Millisecond)).WithRetryAfter(wait)
 	}
 	t.nextID++
 	g := &group{id: t.nextID, work: w, since: now, handles: make([]string, w.Pieces), left: w.Pieces}
