--- a/news/service.go
+++ b/news/service.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -179,9 +181,14 @@
 		return err
 	}
 	s.mutex.Lock()
+	silence := s.Clock.Now().Sub(s.heard)
+	regained := s.state.outage
 	s.heard = s.Clock.Now()
 	change := s.state.Read(s.heard, Snapshot{Directory: d})
 	s.mutex.Unlock()
+	if regained {
+		s.Log.WithFields(logrus.Fields{"silent_ms": silence.Milliseconds(), "revision": d.Revision}).Info("store read again")
+	}
 	s.changed(change, "store")
 	return nil
 }
@@ -214,11 +221,24 @@
 		config := s.Config()
 		s.Log.WithFields(logrus.Fields{"version": config.Version, "routes": len(config.Routes), "accounts": len(config.Accounts), "from": from}).Info("configuration in force")
 	}
+	if c.Departures {
+		d := s.Directory()
+		s.Log.WithFields(logrus.Fields{"domains": slices.Sorted(maps.Keys(d.Departed)), "revision": d.Revision, "from": from}).Info("failure domains taken out")
+	}
+	if len(c.Joined)+len(c.Left) > 0 {
+		s.Log.WithFields(logrus.Fields{"joined": few(c.Joined), "left": few(c.Left), "revision": s.Directory().Revision, "from": from}).Info("targets changed")
+	}
 	if s.Changed != nil && (c.Config || c.Directory) {
 		s.Changed(c)
 	}
 }
 
+// maxLogged bounds the identifiers on one line.
+const maxLogged = 8
+
+// few returns the first of many identifiers.
+func few(ids []string) []string { return ids[:min(len(ids), maxLogged)] }
+
 // ask takes in the news of some other nodes.
 func (s *Service) ask(ctx context.Context) {
 	others := s.others()
--- a/news/state.go
+++ b/news/state.go
@@ -1,6 +1,7 @@
 package news
 
 import (
+	"maps"
 	"time"
 
 	"bergamotworks/site"
@@ -39,8 +40,11 @@
 
 // Change says what a merge has changed.
 type Change struct {
-	Config    bool
-	Directory bool
+	Config     bool
+	Directory  bool
+	Departures bool     // Other failure domains are taken out.
+	Joined     []string // Targets that take new work and did not before.
+	Left       []string // Targets that no longer take new work.
 }
 
 // Config returns the configuration in force.
@@ -79,11 +83,31 @@
 		c.Directory = true
 	}
 	if c.Directory {
+		before := s.directory
 		s.combine(now)
+		c.compare(before, s.directory)
 	}
 	return c
 }
 
+// compare finds out what differs between two directories.
+func (c *Change) compare(before, after site.Directory) {
+	c.Departures = !maps.Equal(before.Departed, after.Departed)
+	c.Joined = missingFrom(after, before)
+	c.Left = missingFrom(before, after)
+}
+
+// missingFrom returns the targets that take new work in one directory only.
+func missingFrom(one, other site.Directory) []string {
+	var ids []string
+	for _, t := range one.Targets {
+		if o, ok := other.Find(t.ID); one.Takes(t) && (!ok || !other.Takes(o)) {
+			ids = append(ids, t.ID)
+		}
+	}
+	return ids
+}
+
 // combine makes the directory in force from what was read.
 func (s *State) combine(now time.Time) {
 	if !s.listed.Known() || s.departures == nil {
--- a/site/directory.go
+++ b/site/directory.go
@@ -42,13 +42,16 @@
 	for _, t := range d.Targets {
 		d.byID[t.ID] = t
 		d.byAddress[t.Address] = t
-		if !t.Leaving && !d.Departed[t.Domain] {
+		if d.Takes(t) {
 			d.byService[t.Service] = append(d.byService[t.Service], t)
 		}
 	}
 	return d
 }
 
+// Takes reports whether a target takes new work.
+func (d Directory) Takes(t Target) bool { return !t.Leaving && !d.Departed[t.Domain] }
+
 // Known reports whether the directory has been read.
 func (d Directory) Known() bool { return d.byID != nil }
 
