--- a/batch/order.go
+++ b/batch/order.go
@@ -18,9 +18,6 @@
 	// would waste them.
 	begunShare = 0.5
 	freshShare = 0.2
-	// vainShare is the part of its time after which late work that has not
-	// begun is refused, so that its caller can come back.
-	vainShare = 0.35
 )
 
 // callTime returns the time of a call with a number of pieces, or with as many
@@ -38,15 +35,6 @@
 // memory until the last piece is made.
 func (g *group) begun() bool { return len(g.waiting) < g.work.Pieces }
 
-// waitsInVain reports whether late work that would waste nothing has waited for
-// so long that an answer serves its caller better.
-func (t *Table) waitsInVain(now time.Time, g *group) bool {
-	if g.begun() || len(g.work.Inputs) > 0 || !t.late(now, g.work) {
-		return false
-	}
-	return now.Sub(g.since) > time.Duration(vainShare*float64(g.work.Deadline.Sub(g.since)))
-}
-
 // compare orders groups: those that are begun, then those in time by priority
 // and latency target, then the late ones by deadline.
 func (t *Table) compare(now time.Time, a, b *group) int {
--- a/batch/table.go
+++ b/batch/table.go
@@ -160,11 +160,6 @@
 // Tick drops what cannot end any more and starts what has become possible.
 func (t *Table) Tick(now time.Time) {
 	for _, g := range t.groups {
-		if t.waitsInVain(now, g) {
-			wait := t.clearTime(t.Waiting(), max(1, t.usable()))
-			t.fail(g, fault.New(fault.Busy, fault.NotRun, "%s is late and has waited %s", g.work.Service, now.Sub(g.since).Round(time.Millisecond)).WithRetryAfter(wait))
-			continue
-		}
 		hopeless := len(g.waiting) > 0 && now.Add(t.callTime(g.work.Pieces)+g.work.Rest).After(g.work.Deadline)
 		if hopeless || !now.Before(g.work.Deadline) {
 			t.fail(g, fault.New(fault.DeadlineExceeded, fault.NotRun, "%s cannot finish in time", g.work.Service))
--- a/batch/table_test.go
+++ b/batch/table_test.go
@@ -50,15 +50,14 @@
 }
 
 type workSpec struct {
-	Request    string   `json:"request"`
-	Pieces     int      `json:"pieces"`
-	Bytes      int64    `json:"bytes"`
-	Domain     string   `json:"domain"`
-	TargetMS   int64    `json:"target_ms"`
-	DeadlineMS int64    `json:"deadline_ms"`
-	RestMS     int64    `json:"rest_ms"`
-	Inputs     []string `json:"inputs"`
-	Priority   int      `json:"priority"`
+	Request    string `json:"request"`
+	Pieces     int    `json:"pieces"`
+	Bytes      int64  `json:"bytes"`
+	Domain     string `json:"domain"`
+	TargetMS   int64  `json:"target_ms"`
+	DeadlineMS int64  `json:"deadline_ms"`
+	RestMS     int64  `json:"rest_ms"`
+	Priority   int    `json:"priority"`
 }
 
 // endSpec ends a call; a result is a handle, or a reason after an exclamation mark.
@@ -114,7 +113,7 @@
 		_, err := table.Submit(now, batch.Work{
 			Service: "plan", Request: s.Submit.Request, Pieces: s.Submit.Pieces, Bytes: s.Submit.Bytes, Domain: s.Submit.Domain,
 			Crossing: s.Submit.Bytes * int64(s.Submit.Pieces),
-			Inputs:   s.Submit.Inputs, Rest: ms(s.Submit.RestMS), Priority: s.Submit.Priority,
+			Rest:     ms(s.Submit.RestMS), Priority: s.Submit.Priority,
 			Target: start.Add(ms(s.Submit.TargetMS)), Deadline: start.Add(ms(s.Submit.DeadlineMS)),
 		})
 		return err
--- a/batch/worker.go
+++ b/batch/worker.go
@@ -17,7 +17,6 @@
 	running   map[uint64]*run
 	results   map[string]result // By handle.
 	restUntil time.Time
-	slowness  float64 // Moving ratio of the time of calls to the stated time; zero if unknown.
 	// foreign is the memory that results of another VM's calls take.
 	foreign      int64
 	foreignUntil time.Time
@@ -34,33 +33,6 @@
 	id     uint64
 	pieces []*piece
 	bytes  int64
-	begun  time.Time
-}
-
-const (
-	// slownessWeight is the weight of one call in the moving ratio.
-	slownessWeight = 0.4
-	// slowFrom is the ratio from which a worker counts as slow.
-	slowFrom = 1.6
-)
-
-// ended takes in how long a call took.
-func (k *worker) ended(took, stated time.Duration) {
-	ratio := float64(took) / float64(max(stated, time.Millisecond))
-	if k.slowness == 0 {
-		k.slowness = ratio
-	}
-	k.slowness += slownessWeight * (ratio - k.slowness)
-}
-
-// tooSlow reports whether a worker would make work late that is in time
-// elsewhere.
-func (t *Table) tooSlow(now time.Time, g *group, k *worker) bool {
-	if k.slowness < slowFrom || t.late(now, g.work) {
-		return false
-	}
-	took := time.Duration(k.slowness * float64(t.callTime(g.work.Pieces)))
-	return now.Add(took + g.work.Rest).After(g.work.Target)
 }
 
 func (k *worker) holds(handle string) bool {
@@ -197,7 +169,7 @@
 	room := k.room(now, t.Limits.RoomBytes)
 	var fitting []*piece
 	for _, g := range t.queue {
-		if t.waitsForDomain(now, g, k) || t.tooSlow(now, g, k) {
+		if t.waitsForDomain(now, g, k) {
 			continue
 		}
 		for _, p := range g.waiting {
@@ -235,7 +207,7 @@
 
 func (t *Table) start(now time.Time, k *worker, pieces []*piece) {
 	t.nextRun++
-	r := &run{id: t.nextRun, pieces: pieces, begun: now}
+	r := &run{id: t.nextRun, pieces: pieces}
 	call := Start{Run: r.id, Target: k.target}
 	for _, p := range pieces {
 		p.tries++
@@ -258,7 +230,6 @@
 		return
 	}
 	delete(k.running, id)
-	k.ended(now.Sub(r.begun), t.callTime(len(r.pieces)))
 	if err != nil {
 		k.restUntil = now.Add(restTime)
 		for _, p := range r.pieces {
