Count dead nodes in the bounds that nodes share

A node that is cut off from the others took the whole bound on cold targets and retries for itself, while the others went on.

--- a/relay/job.go
+++ b/relay/job.go
@@ -221,8 +221,7 @@
 		b = &retry.Budget{}
 		s.budgets[service] = b
 	}
-	nodes := float64(max(1, len(s.View().Live())))
-	slack := s.Bounds.RetrySlack / nodes
+	slack := s.Bounds.RetrySlack / s.nodes()
 	b.Share = s.Bounds.RetryShare * shareUsed
 	b.Largest = max(1, slack*slackSaved)
 	b.Floor = slack * slackDrawn / s.Bounds.RetryWindow.Seconds()
--- a/relay/server.go
+++ b/relay/server.go
@@ -124,6 +124,26 @@
 	go c.run()
 }
 
+// doubtNodes is the number of nodes that is assumed while the membership is in
+// doubt.
+const doubtNodes = 16
+
+// nodes returns the number of nodes that may share a bound with this one. Nodes
+// that are dead count: they may be cut off and go on.
+func (s *Server) nodes() float64 {
+	view := s.View()
+	n := 0
+	for _, m := range view.Members() {
+		if m.State != member.Left {
+			n++
+		}
+	}
+	if view.Doubt {
+		n = max(n, doubtNodes)
+	}
+	return float64(max(n, 1))
+}
+
 func (s *Server) isClosed() bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
--- a/relay/stages.go
+++ b/relay/stages.go
@@ -282,6 +282,5 @@
 	if !ok {
 		return 1
 	}
-	nodes := float64(max(1, len(j.server.View().Live())))
-	return service.ColdRate * j.server.Bounds.ColdFactor / nodes
+	return service.ColdRate * j.server.Bounds.ColdFactor / j.server.nodes()
 }
