Give up results that a former owner's calls made

The new owner ignored the release of results that it had not made itself, so that they took memory until they expired. Releases now go to the maker by the address in the handle, and the memory is measured again. Ruled out: slow targets (calls of 87 ms, refused at once). Case former_owners_results fails before.

--- a/batch/table.go
+++ b/batch/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"bergamotworks/fault"
@@ -113,11 +114,12 @@
 	}
 }
 
-// Release gives up results that have been read.
+// Release gives up results that have been read, also those of calls that
+// another owner made.
 func (t *Table) Release(now time.Time, handles []string) {
 	byWorker := make(map[*worker][]string)
 	for _, h := range handles {
-		if k := t.workers[ownerOf(t, h)]; k != nil && k.holds(h) {
+		if k := t.maker(h); k != nil {
 			byWorker[k] = append(byWorker[k], h)
 		}
 	}
@@ -127,22 +129,29 @@
 	t.dispatch(now)
 }
 
-// ownerOf returns the target that holds a result.
-func ownerOf(t *Table, handle string) string {
-	for id, k := range t.workers {
-		if k.holds(handle) {
-			return id
+// maker returns the worker that holds a result, or nil. A handle begins with
+// the address of its maker.
+func (t *Table) maker(handle string) *worker {
+	address, _, _ := strings.Cut(handle, "/")
+	for _, k := range t.workers {
+		if k.target.Address == address {
+			return k
 		}
 	}
-	return ""
+	return nil
 }
 
 // Freed takes in that a target has given up results.
 func (t *Table) Freed(now time.Time, target string, handles []string) {
 	if k := t.workers[target]; k != nil {
+		foreign := false
 		for _, h := range handles {
+			foreign = foreign || !k.holds(h)
 			delete(k.results, h)
 		}
+		if foreign && now.Before(k.foreignUntil) {
+			t.actions = append(t.actions, Measure{Target: k.target})
+		}
 	}
 	t.dispatch(now)
 }
@@ -197,7 +206,7 @@
 	t.queue = slices.DeleteFunc(t.queue, func(q *group) bool { return q == g })
 	made := slices.DeleteFunc(slices.Clone(g.handles), func(h string) bool { return h == "" })
 	for _, h := range made {
-		if k := t.workers[ownerOf(t, h)]; k != nil {
+		if k := t.maker(h); k != nil {
 			t.actions = append(t.actions, Free{Target: k.target, Handles: []string{h}})
 		}
 	}
