Let a target at the address of another one take its place

Which name was asked hung on the order of a map. Case address_used_again fails before. Also: work waits up to 1 s for a membership in doubt before a VM gathers it itself.

--- a/batch/service.go
+++ b/batch/service.go
@@ -26,6 +26,9 @@
 	releaseTimeout = 500 * time.Millisecond
 	callSlack      = 2 * time.Second // Time that a call may take beyond the usual.
 	ownerPrefix    = "batch/"
+	// doubtTime is how long work waits for a membership in doubt before this VM
+	// gathers it itself. Many owners at once would fill the targets' queues.
+	doubtTime = 1 * time.Second
 )
 
 // Caller calls methods of other nodes.
@@ -48,6 +51,7 @@
 	mutex   sync.Mutex
 	tables  map[string]*gathered
 	waits   map[string]toldWait
+	doubted time.Time // Time since which the membership is in doubt; zero if it is not.
 	leaving bool
 	running sync.WaitGroup
 	base    context.Context
@@ -152,7 +156,11 @@
 }
 
 func (s *Service) submitOnce(ctx context.Context, w Work) ([]string, error) {
-	vm, ok := s.View().Owner(ownerPrefix + w.Service)
+	view := s.View()
+	if s.doubts(view) {
+		return nil, fault.New(fault.Conflict, fault.NotRun, "the membership is in doubt")
+	}
+	vm, ok := view.Owner(ownerPrefix + w.Service)
 	if !ok || vm.ID == s.Self {
 		made, err := s.gather(ctx, w)
 		s.told(w.Service, s.ownWait(w.Service))
@@ -171,6 +179,20 @@
 	return answer.Handles, nil
 }
 
+// doubts reports whether the membership has come into doubt a short time ago.
+func (s *Service) doubts(view member.View) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	now := s.Clock.Now()
+	switch {
+	case !view.Doubt:
+		s.doubted = time.Time{}
+	case s.doubted.IsZero():
+		s.doubted = now
+	}
+	return view.Doubt && now.Sub(s.doubted) < doubtTime
+}
+
 func (s *Service) told(service string, wait time.Duration) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
--- a/batch/table_test.go
+++ b/batch/table_test.go
@@ -1,6 +1,7 @@
 package batch_test
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"slices"
@@ -8,7 +9,7 @@
 	"testing"
 	"time"
 
-	"github.com/google/go-cmp/cmp"
+	gocmp "github.com/google/go-cmp/cmp"
 	"github.com/google/go-cmp/cmp/cmpopts"
 
 	"bergamotworks/batch"
@@ -36,7 +37,8 @@
 // tableStep is one event and the actions that follow it.
 type tableStep struct {
 	AtMS int64 `json:"at_ms"`
-	// Targets replaces the targets, each as ID, ID@domain or ID@domain#incarnation.
+	// Targets replaces the targets, each as ID@domain, ID@domain#incarnation or
+	// ID@domain=address.
 	Targets []string  `json:"targets"`
 	Submit  *workSpec `json:"submit"`
 	Ended   *endSpec  `json:"ended"`
@@ -96,7 +98,7 @@
 		slices.Sort(got)
 		want := slices.Clone(s.Want)
 		slices.Sort(want)
-		if diff := cmp.Diff(want, got, cmpopts.EquateEmpty()); diff != "" {
+		if diff := gocmp.Diff(want, got, cmpopts.EquateEmpty()); diff != "" {
 			t.Errorf("step %d at %d ms (-want +got):\n%s", i, s.AtMS, diff)
 		}
 	}
@@ -138,9 +140,10 @@
 func targets(specs []string) []site.Target {
 	var list []site.Target
 	for _, p := range specs {
+		p, address, _ := strings.Cut(p, "=")
 		name, number, _ := strings.Cut(p, "#")
 		id, domain, _ := strings.Cut(name, "@")
-		list = append(list, site.Target{ID: id, Service: "plan", Address: id + ":1", Domain: domain, Incarnation: int64(len(number))})
+		list = append(list, site.Target{ID: id, Service: "plan", Address: cmp.Or(address, id+":1"), Domain: domain, Incarnation: int64(len(number))})
 	}
 	return list
 }
--- a/batch/worker.go
+++ b/batch/worker.go
@@ -78,6 +78,8 @@
 		k := t.workers[g.ID]
 		if k == nil || k.target.Incarnation != g.Incarnation || k.target.Address != g.Address {
 			t.forget(k)
+			delete(t.workers, g.ID)
+			t.forgetAt(g.Address)
 			k = &worker{running: make(map[uint64]*run), results: make(map[string]result)}
 			t.workers[g.ID] = k
 			t.actions = append(t.actions, Measure{Target: g})
@@ -105,6 +107,16 @@
 	}
 }
 
+// forgetAt forgets a worker whose address belongs to another one now.
+func (t *Table) forgetAt(address string) {
+	for id, k := range t.workers {
+		if k.target.Address == address {
+			t.forget(k)
+			delete(t.workers, id)
+		}
+	}
+}
+
 // dispatch starts every call that is possible now.
 func (t *Table) dispatch(now time.Time) {
 	for {
