Compare a target's failures with those of the others

The share of a service's failures included the failing target itself, so that with few targets none could stand out.

--- a/place/choose.go
+++ b/place/choose.go
@@ -44,7 +44,7 @@
 	} else {
 		chosen = t.leastBusy(now, n, open)
 	}
-	if t.failing(chosen) {
+	if t.failing(chosen, n.Targets) {
 		t.state(chosen).probed = now
 	}
 	return chosen, true
@@ -59,7 +59,7 @@
 		if slices.Contains(n.Tried, g.ID) || now.Before(g.ColdUntil) && !k.bears(now, n.ColdRate) {
 			continue
 		}
-		if choosy && (now.Before(k.restUntil) || t.failing(g) && now.Sub(k.probed) < probeEvery) {
+		if choosy && (now.Before(k.restUntil) || t.failing(g, n.Targets) && now.Sub(k.probed) < probeEvery) {
 			continue
 		}
 		open = append(open, g)
@@ -72,9 +72,19 @@
 	return float64(len(k.recent(now))+1) <= max(rate, 1)
 }
 
-// failing reports whether a target fails far more often than its service.
-func (t *Table) failing(g site.Target) bool {
-	return t.state(g).health.failures > t.service(g.Service).failures+failingExcess
+// failing reports whether a target fails far more often than the others.
+func (t *Table) failing(g site.Target, all []site.Target) bool {
+	own := t.state(g).health.failures
+	if own < failingExcess || len(all) < 2 {
+		return false
+	}
+	sum := 0.0
+	for _, o := range all {
+		if o.ID != g.ID {
+			sum += t.state(o).health.failures
+		}
+	}
+	return own > sum/float64(len(all)-1)+failingExcess
 }
 
 // load returns the calls at a target: the own ones, or all that it has told of
--- a/place/table.go
+++ b/place/table.go
@@ -17,8 +17,8 @@
 	fullRest = 150 * time.Millisecond
 	// failureWeight is the weight of one answer in the share of failures.
 	failureWeight = 0.15
-	// failingExcess is how far a target's share of failures may lie above that
-	// of its service.
+	// failingExcess is how far a target's share of failures may lie above the
+	// mean of the others.
 	failingExcess = 0.25
 	// probeEvery is the time between two requests to a target that fails often.
 	probeEvery = 1500 * time.Millisecond
@@ -29,8 +29,7 @@
 // Table knows the load and health of targets as far as this node has seen
 // them. The zero value is ready for use. It is not safe for concurrent use.
 type Table struct {
-	targets  map[string]*state
-	services map[string]*health
+	targets map[string]*state
 }
 
 // state is what is known of one target.
@@ -86,7 +85,6 @@
 func (t *Table) state(g site.Target) *state {
 	if t.targets == nil {
 		t.targets = make(map[string]*state)
-		t.services = make(map[string]*health)
 	}
 	k := t.targets[g.ID]
 	if k == nil || k.incarnation != g.Incarnation {
@@ -96,15 +94,6 @@
 	return k
 }
 
-func (t *Table) service(name string) *health {
-	h := t.services[name]
-	if h == nil {
-		h = &health{}
-		t.services[name] = h
-	}
-	return h
-}
-
 // Began counts a call that is sent at now.
 func (t *Table) Began(now time.Time, g site.Target) {
 	k := t.state(g)
@@ -136,11 +125,9 @@
 	case Answered:
 		k.lost = 0
 		k.health.add(false)
-		t.service(g.Service).add(false)
 	case Failed:
 		k.lost = 0
 		k.health.add(true)
-		t.service(g.Service).add(true)
 	case Lost:
 		k.lost++
 		k.health.add(true)
--- /dev/null
+++ b/place/table_test.go
@@ -0,0 +1,108 @@
+package place_test
+
+import (
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+
+	"bergamotworks/place"
+	"bergamotworks/script"
+	"bergamotworks/site"
+)
+
+// placeCase plays choices and ends of calls against one table.
+type placeCase struct {
+	// Load says in words which load the case plays.
+	Load    string      `json:"load"`
+	Targets []string    `json:"targets"` // ID@domain.
+	Steps   []placeStep `json:"steps"`
+}
+
+// placeStep chooses targets and begins a call at each, or ends calls.
+type placeStep struct {
+	AtMS     int64             `json:"at_ms"`
+	Choose   int               `json:"choose"` // Number of choices.
+	Affinity uint64            `json:"affinity"`
+	Tried    []string          `json:"tried"`
+	ColdRate float64           `json:"cold_rate"`
+	ColdMS   map[string]int64  `json:"cold_ms"`  // Time up to which targets are cold.
+	Ended    map[string]string `json:"ended"`    // Outcome of one call at each target.
+	Told     map[string]int    `json:"told"`     // Requests that run at a target, as it tells.
+	Want     []string          `json:"want"`     // Targets chosen, sorted; "none" if there is none.
+	WantAny  int               `json:"want_any"` // Number of different targets chosen, if set.
+}
+
+var outcomes = map[string]place.Outcome{
+	"unknown": place.Unknown, "answered": place.Answered, "failed": place.Failed,
+	"lost": place.Lost, "full": place.Full, "wrong": place.Wrong,
+}
+
+func TestTable(t *testing.T) {
+	script.Run(t, "testdata/*.json", testTable)
+}
+
+func testTable(t *testing.T, v placeCase) {
+	var table place.Table
+	start := time.Unix(1000, 0)
+	cold := make(map[string]int64)
+	for i, s := range v.Steps {
+		now := start.Add(time.Duration(s.AtMS) * time.Millisecond)
+		for id, until := range s.ColdMS {
+			cold[id] = until
+		}
+		targets := placeTargets(v.Targets, start, cold)
+		for id, n := range s.Told {
+			table.Told(now, find(targets, id), place.Load{Running: n, Slots: 8})
+		}
+		for id, o := range s.Ended {
+			table.Ended(now, find(targets, id), outcomes[o])
+		}
+		got := choose(&table, now, targets, s)
+		if s.WantAny > 0 {
+			if n := len(slices.Compact(got)); n != s.WantAny {
+				t.Errorf("step %d: %d different targets, want %d", i, n, s.WantAny)
+			}
+			continue
+		}
+		if diff := cmp.Diff(s.Want, got, cmpopts.EquateEmpty()); diff != "" {
+			t.Errorf("step %d at %d ms (-want +got):\n%s", i, s.AtMS, diff)
+		}
+	}
+}
+
+func choose(table *place.Table, now time.Time, targets []site.Target, s placeStep) []string {
+	var chosen []string
+	for range s.Choose {
+		need := place.Need{Targets: targets, Affinity: s.Affinity, Domain: "x", Tried: s.Tried, ColdRate: s.ColdRate}
+		g, ok := table.Choose(now, need)
+		if !ok {
+			chosen = append(chosen, "none")
+			continue
+		}
+		table.Began(now, g)
+		chosen = append(chosen, g.ID)
+	}
+	slices.Sort(chosen)
+	return chosen
+}
+
+func placeTargets(specs []string, start time.Time, cold map[string]int64) []site.Target {
+	var list []site.Target
+	for _, p := range specs {
+		id, domain, _ := strings.Cut(p, "@")
+		g := site.Target{ID: id, Service: "svc", Domain: domain}
+		if until, ok := cold[id]; ok {
+			g.ColdUntil = start.Add(time.Duration(until) * time.Millisecond)
+		}
+		list = append(list, g)
+	}
+	return list
+}
+
+func find(targets []site.Target, id string) site.Target {
+	return targets[slices.IndexFunc(targets, func(g site.Target) bool { return g.ID == id })]
+}
