--- a/batch/service.go
+++ b/batch/service.go
@@ -343,7 +343,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if g := s.tables[service]; g != nil {
-		g.table.Release(s.Clock.Now(), list)
+		g.table.Release(list)
 		s.perform(g)
 	}
 }
--- a/batch/table.go
+++ b/batch/table.go
@@ -115,18 +115,24 @@
 }
 
 // Release gives up results that have been read, also those of calls that
-// another owner made.
-func (t *Table) Release(now time.Time, handles []string) {
-	byWorker := make(map[*worker][]string)
+// another owner made. They leave with the next tick, so that one call to a
+// target gives up the results of many requests.
+func (t *Table) Release(handles []string) {
 	for _, h := range handles {
 		if k := t.maker(h); k != nil {
-			byWorker[k] = append(byWorker[k], h)
+			k.released = append(k.released, h)
 		}
 	}
-	for k, list := range byWorker {
-		t.actions = append(t.actions, Free{Target: k.target, Handles: list})
+}
+
+// flush asks to give up what has been released.
+func (t *Table) flush() {
+	for _, k := range t.workers {
+		if len(k.released) > 0 {
+			t.actions = append(t.actions, Free{Target: k.target, Handles: k.released})
+			k.released = nil
+		}
 	}
-	t.dispatch(now)
 }
 
 // maker returns the worker that holds a result, or nil. A handle begins with
@@ -168,6 +174,7 @@
 
 // Tick drops what cannot end any more and starts what has become possible.
 func (t *Table) Tick(now time.Time) {
+	t.flush()
 	for _, g := range t.groups {
 		hopeless := len(g.waiting) > 0 && now.Add(t.callTime(g.work.Pieces)+g.work.Rest).After(g.work.Deadline)
 		if hopeless || !now.Before(g.work.Deadline) {
@@ -205,11 +212,7 @@
 	delete(t.groups, g.id)
 	t.queue = slices.DeleteFunc(t.queue, func(q *group) bool { return q == g })
 	made := slices.DeleteFunc(slices.Clone(g.handles), func(h string) bool { return h == "" })
-	for _, h := range made {
-		if k := t.maker(h); k != nil {
-			t.actions = append(t.actions, Free{Target: k.target, Handles: []string{h}})
-		}
-	}
+	t.Release(made)
 }
 
 func (t *Table) fail(g *group, err error) {
--- a/batch/table_test.go
+++ b/batch/table_test.go
@@ -122,7 +122,8 @@
 	case s.Ended != nil:
 		table.Ended(now, s.Ended.Target, s.Ended.Run, results(s.Ended.Results), failure(s.Ended.Error))
 	case s.Release != nil:
-		table.Release(now, s.Release)
+		table.Release(s.Release)
+		table.Tick(now)
 	case s.Freed != nil:
 		table.Freed(now, s.Freed.Target, s.Freed.Handles)
 	case s.Measure != nil:
--- a/batch/worker.go
+++ b/batch/worker.go
@@ -16,6 +16,7 @@
 	measured  bool
 	running   map[uint64]*run
 	results   map[string]result // By handle.
+	released  []string          // Results to give up with the next tick.
 	restUntil time.Time
 	// foreign is the memory that results of another VM's calls take.
 	foreign      int64
@@ -119,7 +120,7 @@
 
 // dispatch starts every call that is possible now.
 func (t *Table) dispatch(now time.Time) {
-	for {
+	for t.anyFree(now) {
 		t.sort(now)
 		best, pieces := t.bestCall(now)
 		if best == nil {
@@ -129,13 +130,30 @@
 	}
 }
 
+// free reports whether a worker takes a call now.
+func (t *Table) free(now time.Time, k *worker) bool {
+	return k.usable && len(k.running) < max(t.Limits.Slots, 1) && !now.Before(k.restUntil)
+}
+
+func (t *Table) anyFree(now time.Time) bool {
+	if len(t.queue) == 0 {
+		return false
+	}
+	for _, k := range t.workers {
+		if t.free(now, k) {
+			return true
+		}
+	}
+	return false
+}
+
 // bestCall returns the free worker whose call would begin with the first piece
 // in order, and hold the most pieces.
 func (t *Table) bestCall(now time.Time) (*worker, []*piece) {
 	var best *worker
 	var chosen []*piece
 	for _, k := range t.workers {
-		if !k.usable || len(k.running) >= max(t.Limits.Slots, 1) || now.Before(k.restUntil) {
+		if !t.free(now, k) {
 			continue
 		}
 		pieces := t.fit(now, k)
@@ -273,7 +291,7 @@
 	}
 	k.results[r.Handle] = result{bytes: g.work.Bytes, until: now.Add(t.Limits.Retention)}
 	if t.groups[g.id] == nil {
-		t.actions = append(t.actions, Free{Target: k.target, Handles: []string{r.Handle}})
+		k.released = append(k.released, r.Handle)
 		return
 	}
 	g.handles[p.index] = r.Handle
