--- a/serve/node.go
+++ b/serve/node.go
@@ -130,6 +130,9 @@
 	return err
 }
 
+// Members returns the number of live nodes that this one knows, itself included.
+func (n *Node) Members() int { return len(n.members.View().Live()) }
+
 // Ready reports whether the node takes new callers, and the reason if not.
 func (n *Node) Ready() (bool, string) {
 	switch {
