--- a/batch/worker.go
+++ b/batch/dispatch.go
@@ -6,118 +6,8 @@
 	"time"
 
 	"bergamotworks/fault"
-	"bergamotworks/site"
 )
 
-// worker is one target of the service.
-type worker struct {
-	target    site.Target
-	usable    bool // It takes new calls.
-	measured  bool
-	running   map[uint64]*run
-	results   map[string]result // By handle.
-	released  []string          // Results to give up with the next tick.
-	restUntil time.Time
-	// foreign is the memory that results of another VM's calls take.
-	foreign      int64
-	foreignUntil time.Time
-}
-
-// result is memory that is taken at a worker.
-type result struct {
-	bytes int64
-	until time.Time
-}
-
-// run is a call in progress.
-type run struct {
-	id     uint64
-	pieces []*piece
-	bytes  int64
-}
-
-func (k *worker) holds(handle string) bool {
-	_, ok := k.results[handle]
-	return ok
-}
-
-// used returns the memory that the table's own results take.
-func (k *worker) used(now time.Time) int64 {
-	var sum int64
-	for h, r := range k.results {
-		if now.After(r.until) {
-			delete(k.results, h)
-			continue
-		}
-		sum += r.bytes
-	}
-	for _, r := range k.running {
-		sum += r.bytes
-	}
-	return sum
-}
-
-// room returns the free memory.
-func (k *worker) room(now time.Time, limit int64) int64 {
-	free := limit - k.used(now)
-	if now.Before(k.foreignUntil) {
-		free -= k.foreign
-	}
-	return free
-}
-
-// SetTargets replaces the list of targets that take new calls. Targets that are
-// gone from the directory are forgotten once their calls have ended.
-func (t *Table) SetTargets(now time.Time, targets []site.Target) {
-	if t.workers == nil {
-		t.workers = make(map[string]*worker)
-	}
-	for _, k := range t.workers {
-		k.usable = false
-	}
-	for _, g := range targets {
-		k := t.workers[g.ID]
-		if k == nil || k.target.Incarnation != g.Incarnation || k.target.Address != g.Address {
-			t.forget(k)
-			delete(t.workers, g.ID)
-			t.forgetAt(g.Address)
-			k = &worker{running: make(map[uint64]*run), results: make(map[string]result)}
-			t.workers[g.ID] = k
-			t.actions = append(t.actions, Measure{Target: g})
-		}
-		k.target = g
-		k.usable = true
-	}
-	for id, k := range t.workers {
-		if !k.usable && len(k.running) == 0 && k.used(now) == 0 {
-			delete(t.workers, id)
-		}
-	}
-	t.dispatch(now)
-}
-
-// forget puts the pieces back that a worker had when it restarted.
-func (t *Table) forget(k *worker) {
-	if k == nil {
-		return
-	}
-	for _, r := range k.running {
-		for _, p := range r.pieces {
-			t.again(p, fault.New(fault.ConnectionLost, fault.MayHaveRun, "%s has restarted", k.target.ID))
-		}
-	}
-}
-
-// forgetAt forgets a worker whose address belongs to another one now.
-func (t *Table) forgetAt(address string) {
-	for id, k := range t.workers {
-		if k.target.Address == address {
-			t.forget(k)
-			delete(t.workers, id)
-		}
-	}
-}
-
 // dispatch starts every call that is possible now.
 func (t *Table) dispatch(now time.Time) {
 	for t.anyFree(now) {
@@ -130,8 +20,8 @@
 	}
 }
 
-// free reports whether a worker takes a call now.
-func (t *Table) free(now time.Time, k *worker) bool {
+// free reports whether a target takes a call now.
+func (t *Table) free(now time.Time, k *state) bool {
 	return k.usable && len(k.running) < max(t.Limits.Slots, 1) && !now.Before(k.restUntil)
 }
 
@@ -139,7 +29,7 @@
 	if len(t.queue) == 0 {
 		return false
 	}
-	for _, k := range t.workers {
+	for _, k := range t.targets {
 		if t.free(now, k) {
 			return true
 		}
@@ -147,12 +37,12 @@
 	return false
 }
 
-// bestCall returns the free worker whose call would begin with the first piece
+// bestCall returns the free target whose call would begin with the first piece
 // in order, and hold the most pieces.
-func (t *Table) bestCall(now time.Time) (*worker, []*piece) {
-	var best *worker
+func (t *Table) bestCall(now time.Time) (*state, []*piece) {
+	var best *state
 	var chosen []*piece
-	for _, k := range t.workers {
+	for _, k := range t.targets {
 		if !t.free(now, k) {
 			continue
 		}
@@ -168,7 +58,7 @@
 }
 
 // better reports whether a call comes before the best one so far.
-func (t *Table) better(k *worker, pieces []*piece, best *worker, chosen []*piece) bool {
+func (t *Table) better(k *state, pieces []*piece, best *state, chosen []*piece) bool {
 	if c := slices.Index(t.queue, pieces[0].group) - slices.Index(t.queue, chosen[0].group); c != 0 {
 		return c < 0
 	}
@@ -183,7 +73,7 @@
 }
 
 // nearness counts the bytes that stay in their failure domain.
-func nearness(k *worker, pieces []*piece) int64 {
+func nearness(k *state, pieces []*piece) int64 {
 	var sum int64
 	for _, p := range pieces {
 		if p.group.work.Domain == k.target.Domain {
@@ -193,8 +83,8 @@
 	return sum
 }
 
-// fit returns the pieces that a worker would take now.
-func (t *Table) fit(now time.Time, k *worker) []*piece {
+// fit returns the pieces that a target would take now.
+func (t *Table) fit(now time.Time, k *state) []*piece {
 	size := max(t.Limits.Size, 1)
 	room := k.room(now, t.Limits.RoomBytes)
 	var fitting []*piece
@@ -217,8 +107,8 @@
 }
 
 // waitsForDomain reports whether work that moves many bytes still waits for a
-// worker in its failure domain.
-func (t *Table) waitsForDomain(now time.Time, g *group, k *worker) bool {
+// target in its failure domain.
+func (t *Table) waitsForDomain(now time.Time, g *group, k *state) bool {
 	w := g.work
 	if w.Crossing < largeCrossing || w.Domain == "" || w.Domain == k.target.Domain {
 		return false
@@ -227,7 +117,7 @@
 }
 
 func (t *Table) hasWorkerIn(domain string) bool {
-	for _, k := range t.workers {
+	for _, k := range t.targets {
 		if k.usable && k.target.Domain == domain {
 			return true
 		}
@@ -235,7 +125,7 @@
 	return false
 }
 
-func (t *Table) start(now time.Time, k *worker, pieces []*piece) {
+func (t *Table) start(now time.Time, k *state, pieces []*piece) {
 	t.nextRun++
 	r := &run{id: t.nextRun, pieces: pieces}
 	call := Start{Run: r.id, Target: k.target}
@@ -274,16 +164,16 @@
 	t.dispatch(now)
 }
 
-// find returns a call by its number. A worker that has restarted has none.
-func (t *Table) find(target string, id uint64) (*worker, *run) {
-	k := t.workers[target]
+// find returns a call by its number. A target that has restarted has none.
+func (t *Table) find(target string, id uint64) (*state, *run) {
+	k := t.targets[target]
 	if k == nil {
 		return nil, nil
 	}
 	return k, k.running[id]
 }
 
-func (t *Table) takeResult(now time.Time, k *worker, p *piece, r Result) {
+func (t *Table) takeResult(now time.Time, k *state, p *piece, r Result) {
 	g := p.group
 	if r.Handle == "" {
 		t.takeReason(now, k, p, r.Reason)
@@ -302,7 +192,7 @@
 	}
 }
 
-func (t *Table) takeReason(now time.Time, k *worker, p *piece, reason Reason) {
+func (t *Table) takeReason(now time.Time, k *state, p *piece, reason Reason) {
 	g := p.group
 	switch reason {
 	case Late:
--- a/batch/order.go
+++ b/batch/order.go
@@ -115,7 +115,7 @@
 // usable returns the number of targets that take new calls.
 func (t *Table) usable() int {
 	n := 0
-	for _, k := range t.workers {
+	for _, k := range t.targets {
 		if k.usable {
 			n++
 		}
--- /dev/null
+++ b/batch/submit.go
@@ -0,0 +1,93 @@
+package batch
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"bergamotworks/fault"
+	"bergamotworks/member"
+)
+
+// Do has the pieces of a stage made by whichever VM gathers for the service,
+// and returns their handles in order.
+func (s *Service) Do(ctx context.Context, w Work) ([]string, error) {
+	s.once.Do(s.init)
+	for {
+		made, err := s.submitOnce(ctx, w)
+		if err == nil || !passing(err) {
+			return made, err
+		}
+		s.Log.WithFields(logrus.Fields{"request": w.Request, "service": w.Service, "error": err.Error()}).Info("pieces go to the owner again")
+		select {
+		case <-ctx.Done():
+			return nil, fault.New(fault.DeadlineExceeded, fault.NotRun, "%s: %s", w.Service, err)
+		case <-s.Clock.After(resubmitWait):
+		}
+	}
+}
+
+// passing reports whether an error is about the way to the owner and not about
+// the work.
+func passing(err error) bool {
+	switch fault.From(err).Kind {
+	case fault.Unavailable, fault.ConnectionLost, fault.Conflict:
+		return true
+	}
+	return false
+}
+
+func (s *Service) submitOnce(ctx context.Context, w Work) ([]string, error) {
+	view := s.View()
+	if s.doubts(view) {
+		return nil, fault.New(fault.Conflict, fault.NotRun, "the membership is in doubt")
+	}
+	vm, ok := view.Owner(ownerPrefix + w.Service)
+	if !ok || vm.ID == s.Self {
+		made, err := s.gather(ctx, w)
+		s.told(w.Service, s.ownWait(w.Service))
+		return made, err
+	}
+	now := s.Clock.Now()
+	params := submission{Work: w, TargetLeft: w.Target.Sub(now), DeadlineLeft: w.Deadline.Sub(now)}
+	var answer handles
+	if err := s.Peers.Call(ctx, vm.ID, MethodSubmit, params, &answer); err != nil {
+		if e := fault.From(err); e.Kind == fault.Busy {
+			s.told(w.Service, e.RetryAfter)
+		}
+		return nil, err
+	}
+	s.told(w.Service, answer.Wait)
+	return answer.Handles, nil
+}
+
+// doubts reports whether the membership has come into doubt a short time ago.
+func (s *Service) doubts(view member.View) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	now := s.Clock.Now()
+	switch {
+	case !view.Doubt:
+		s.doubted = time.Time{}
+	case s.doubted.IsZero():
+		s.doubted = now
+	}
+	return view.Doubt && now.Sub(s.doubted) < doubtTime
+}
+
+func (s *Service) told(service string, wait time.Duration) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.waits[service] = toldWait{wait: wait, at: s.Clock.Now()}
+}
+
+// Wait returns the time until work of a service begins, as last told by its
+// owner, less the time since.
+func (s *Service) Wait(service string) time.Duration {
+	s.once.Do(s.init)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	told := s.waits[service]
+	return max(0, told.wait-s.Clock.Now().Sub(told.at))
+}
--- a/batch/table.go
+++ b/batch/table.go
@@ -30,7 +30,7 @@
 
 	groups  map[uint64]*group
 	queue   []*group // Those with waiting pieces.
-	workers map[string]*worker
+	targets map[string]*state
 	nextID  uint64
 	nextRun uint64
 	actions []Action
@@ -127,7 +127,7 @@
 
 // flush asks to give up what has been released.
 func (t *Table) flush() {
-	for _, k := range t.workers {
+	for _, k := range t.targets {
 		if len(k.released) > 0 {
 			t.actions = append(t.actions, Free{Target: k.target, Handles: k.released})
 			k.released = nil
@@ -135,11 +135,11 @@
 	}
 }
 
-// maker returns the worker that holds a result, or nil. A handle begins with
+// maker returns the target that holds a result, or nil. A handle begins with
 // the address of its maker.
-func (t *Table) maker(handle string) *worker {
+func (t *Table) maker(handle string) *state {
 	address, _, _ := strings.Cut(handle, "/")
-	for _, k := range t.workers {
+	for _, k := range t.targets {
 		if k.target.Address == address {
 			return k
 		}
@@ -149,7 +149,7 @@
 
 // Freed takes in that a target has given up results.
 func (t *Table) Freed(now time.Time, target string, handles []string) {
-	if k := t.workers[target]; k != nil {
+	if k := t.targets[target]; k != nil {
 		foreign := false
 		for _, h := range handles {
 			foreign = foreign || !k.holds(h)
@@ -164,7 +164,7 @@
 
 // Measured takes in the free memory of a target.
 func (t *Table) Measured(now time.Time, target string, free int64) {
-	if k := t.workers[target]; k != nil {
+	if k := t.targets[target]; k != nil {
 		k.foreign = max(0, t.Limits.RoomBytes-free-k.used(now))
 		k.foreignUntil = now.Add(t.Limits.Retention)
 		k.measured = true
--- /dev/null
+++ b/batch/target.go
@@ -0,0 +1,117 @@
+package batch
+
+import (
+	"time"
+
+	"bergamotworks/fault"
+	"bergamotworks/site"
+)
+
+// state is what the table knows of one target.
+type state struct {
+	target    site.Target
+	usable    bool // It takes new calls.
+	measured  bool
+	running   map[uint64]*run
+	results   map[string]result // By handle.
+	released  []string          // Results to give up with the next tick.
+	restUntil time.Time
+	// foreign is the memory that results of another VM's calls take.
+	foreign      int64
+	foreignUntil time.Time
+}
+
+// result is memory that is taken at a target.
+type result struct {
+	bytes int64
+	until time.Time
+}
+
+// run is a call in progress.
+type run struct {
+	id     uint64
+	pieces []*piece
+	bytes  int64
+}
+
+func (k *state) holds(handle string) bool {
+	_, ok := k.results[handle]
+	return ok
+}
+
+// used returns the memory that the table's own results take.
+func (k *state) used(now time.Time) int64 {
+	var sum int64
+	for h, r := range k.results {
+		if now.After(r.until) {
+			delete(k.results, h)
+			continue
+		}
+		sum += r.bytes
+	}
+	for _, r := range k.running {
+		sum += r.bytes
+	}
+	return sum
+}
+
+// room returns the free memory.
+func (k *state) room(now time.Time, limit int64) int64 {
+	free := limit - k.used(now)
+	if now.Before(k.foreignUntil) {
+		free -= k.foreign
+	}
+	return free
+}
+
+// SetTargets replaces the list of targets that take new calls. Targets that are
+// gone from the directory are forgotten once their calls have ended.
+func (t *Table) SetTargets(now time.Time, targets []site.Target) {
+	if t.targets == nil {
+		t.targets = make(map[string]*state)
+	}
+	for _, k := range t.targets {
+		k.usable = false
+	}
+	for _, g := range targets {
+		k := t.targets[g.ID]
+		if k == nil || k.target.Incarnation != g.Incarnation || k.target.Address != g.Address {
+			t.forget(k)
+			delete(t.targets, g.ID)
+			t.forgetAt(g.Address)
+			k = &state{running: make(map[uint64]*run), results: make(map[string]result)}
+			t.targets[g.ID] = k
+			t.actions = append(t.actions, Measure{Target: g})
+		}
+		k.target = g
+		k.usable = true
+	}
+	for id, k := range t.targets {
+		if !k.usable && len(k.running) == 0 && k.used(now) == 0 {
+			delete(t.targets, id)
+		}
+	}
+	t.dispatch(now)
+}
+
+// forget puts the pieces back that a target had when it restarted.
+func (t *Table) forget(k *state) {
+	if k == nil {
+		return
+	}
+	for _, r := range k.running {
+		for _, p := range r.pieces {
+			t.again(p, fault.New(fault.ConnectionLost, fault.MayHaveRun, "%s has restarted", k.target.ID))
+		}
+	}
+}
+
+// forgetAt forgets a target whose address belongs to another one now.
+func (t *Table) forgetAt(address string) {
+	for id, k := range t.targets {
+		if k.target.Address == address {
+			t.forget(k)
+			delete(t.targets, id)
+		}
+	}
+}
--- /dev/null
+++ b/news/ask.go
@@ -0,0 +1,82 @@
+package news
+
+import (
+	"context"
+
+	"github.com/sirupsen/logrus"
+
+	"bergamotworks/fault"
+	"bergamotworks/site"
+)
+
+// ask takes in the news of some other nodes.
+func (s *Service) ask(ctx context.Context) {
+	others := s.others()
+	for range askedPeers {
+		if len(others) == 0 {
+			return
+		}
+		at := int(s.Random.Uint64() % uint64(len(others)))
+		vm := others[at]
+		others = append(others[:at:at], others[at+1:]...)
+		s.askPeer(ctx, vm)
+	}
+}
+
+func (s *Service) others() []string {
+	var ids []string
+	for _, m := range s.View().Live() {
+		if m.ID != s.Self {
+			ids = append(ids, m.ID)
+		}
+	}
+	return ids
+}
+
+func (s *Service) askPeer(ctx context.Context, vm string) {
+	calling, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	s.mutex.Lock()
+	mine := s.state.known()
+	s.mutex.Unlock()
+	var answer told
+	if err := s.Peers.Call(calling, vm, MethodTell, mine, &answer); err != nil {
+		s.Log.WithFields(logrus.Fields{"peer": vm, "error": err.Error()}).Info("no news from peer")
+		return
+	}
+	s.take(vm, answer)
+}
+
+func (s *Service) take(vm string, answer told) {
+	n := Snapshot{Departures: answer.Departures}
+	if answer.Config != nil {
+		n.Config = site.NewConfig(*answer.Config)
+	}
+	if answer.Directory != nil {
+		n.Directory = site.NewDirectory(*answer.Directory)
+	}
+	s.mutex.Lock()
+	change := s.state.Heard(s.Clock.Now(), n)
+	s.mutex.Unlock()
+	s.changed(change, vm)
+}
+
+// HandleTell answers with what is newer than what another node knows.
+func (s *Service) HandleTell(_ context.Context, theirs known) (told, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	var answer told
+	if c := s.state.Config(); c.Known() && c.Version > theirs.Version {
+		answer.Config = &c
+	}
+	if d := s.state.listed; d.Known() && d.Revision > theirs.Revision {
+		answer.Directory = &d
+	}
+	if d := s.state.departures; d != nil && d.Revision > theirs.Departures {
+		answer.Departures = d
+	}
+	if answer.Config == nil && answer.Directory == nil && !s.state.Config().Known() {
+		return told{}, fault.New(fault.Unavailable, fault.NotRun, "nothing is known here")
+	}
+	return answer, nil
+}
--- a/news/service.go
+++ b/news/service.go
@@ -11,7 +11,6 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
-	"bergamotworks/fault"
 	"bergamotworks/member"
 	"bergamotworks/ports"
 	"bergamotworks/site"
@@ -69,8 +68,6 @@
 	Random  ports.Random
 	Log     *logrus.Entry
 	Metrics *metrics.Set
-	// Changed is called after a change; may be nil.
-	Changed func(Change)
 
 	mutex sync.Mutex
 	state State
@@ -215,7 +212,7 @@
 	s.Log.WithFields(logrus.Fields{"what": what, "silent_ms": silence.Milliseconds(), "error": err.Error()}).Warn("store not read")
 }
 
-// changed logs what has changed and tells the subscriber.
+// changed logs what has changed.
 func (s *Service) changed(c Change, from string) {
 	if c.Config {
 		config := s.Config()
@@ -228,9 +225,6 @@
 	if len(c.Joined)+len(c.Left) > 0 {
 		s.Log.WithFields(logrus.Fields{"joined": few(c.Joined), "left": few(c.Left), "revision": s.Directory().Revision, "from": from}).Info("targets changed")
 	}
-	if s.Changed != nil && (c.Config || c.Directory) {
-		s.Changed(c)
-	}
 }
 
 // maxLogged bounds the identifiers on one line.
@@ -238,75 +232,3 @@
 
 // few returns the first of many identifiers.
 func few(ids []string) []string { return ids[:min(len(ids), maxLogged)] }
-
-// ask takes in the news of some other nodes.
-func (s *Service) ask(ctx context.Context) {
-	others := s.others()
-	for range askedPeers {
-		if len(others) == 0 {
-			return
-		}
-		at := int(s.Random.Uint64() % uint64(len(others)))
-		vm := others[at]
-		others = append(others[:at:at], others[at+1:]...)
-		s.askPeer(ctx, vm)
-	}
-}
-
-func (s *Service) others() []string {
-	var ids []string
-	for _, m := range s.View().Live() {
-		if m.ID != s.Self {
-			ids = append(ids, m.ID)
-		}
-	}
-	return ids
-}
-
-func (s *Service) askPeer(ctx context.Context, vm string) {
-	calling, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
-	s.mutex.Lock()
-	mine := s.state.known()
-	s.mutex.Unlock()
-	var answer told
-	if err := s.Peers.Call(calling, vm, MethodTell, mine, &answer); err != nil {
-		s.Log.WithFields(logrus.Fields{"peer": vm, "error": err.Error()}).Info("no news from peer")
-		return
-	}
-	s.take(vm, answer)
-}
-
-func (s *Service) take(vm string, answer told) {
-	n := Snapshot{Departures: answer.Departures}
-	if answer.Config != nil {
-		n.Config = site.NewConfig(*answer.Config)
-	}
-	if answer.Directory != nil {
-		n.Directory = site.NewDirectory(*answer.Directory)
-	}
-	s.mutex.Lock()
-	change := s.state.Heard(s.Clock.Now(), n)
-	s.mutex.Unlock()
-	s.changed(change, vm)
-}
-
-// HandleTell answers with what is newer than what another node knows.
-func (s *Service) HandleTell(_ context.Context, theirs known) (told, error) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	var answer told
-	if c := s.state.Config(); c.Known() && c.Version > theirs.Version {
-		answer.Config = &c
-	}
-	if d := s.state.listed; d.Known() && d.Revision > theirs.Revision {
-		answer.Directory = &d
-	}
-	if d := s.state.departures; d != nil && d.Revision > theirs.Departures {
-		answer.Departures = d
-	}
-	if answer.Config == nil && answer.Directory == nil && !s.state.Config().Known() {
-		return told{}, fault.New(fault.Unavailable, fault.NotRun, "nothing is known here")
-	}
-	return answer, nil
-}
--- /dev/null
+++ b/relay/budget.go
@@ -0,0 +1,43 @@
+package relay
+
+import (
+	"time"
+
+	"bergamotworks/retry"
+)
+
+// first counts a request for a service.
+func (s *Server) first(service string, now time.Time) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.budget(service).First(now)
+}
+
+// spend takes a repeated send out of the service's budget.
+func (s *Server) spend(service string, now time.Time) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.budget(service).Spend(now)
+}
+
+// The parts of the fleet's bound on retries that are used. They leave room for
+// windows that differ between nodes.
+const (
+	shareUsed  = 0.75 // Of the share of requests.
+	slackSaved = 0.6  // Of the slack, for retries that come at once.
+	slackDrawn = 0.3  // Of the slack, spread over a window.
+)
+
+// budget returns this node's share of the retries for a service.
+func (s *Server) budget(service string) *retry.Budget {
+	b := s.budgets[service]
+	if b == nil {
+		b = &retry.Budget{}
+		s.budgets[service] = b
+	}
+	slack := s.Bounds.RetrySlack / s.nodes()
+	b.Share = s.Bounds.RetryShare * shareUsed
+	b.Largest = max(1, slack*slackSaved)
+	b.Floor = slack * slackDrawn / s.Bounds.RetryWindow.Seconds()
+	return b
+}
--- a/site/config.go
+++ b/site/config.go
@@ -57,19 +57,14 @@
 
 // Service is a group of targets that do the same work.
 type Service struct {
-	Name     string        `json:"name"`
-	MaxConns int           `json:"max_conns"`       // Connections that one target accepts from all callers.
-	Warmup   time.Duration `json:"warmup_ns"`       // Time for which a started target is cold.
-	ColdRate float64       `json:"cold_rate"`       // Requests per second that a cold target bears.
-	Engine   bool          `json:"engine"`          // The targets are model engines.
-	Slots    int           `json:"slots"`           // Requests that one engine runs at once; zero if not stated.
-	Batch    *Batch        `json:"batch,omitempty"` // Set if the targets work on pieces.
+	Name     string  `json:"name"`
+	ColdRate float64 `json:"cold_rate"`       // Requests per second that a cold target bears.
+	Batch    *Batch  `json:"batch,omitempty"` // Set if the targets work on pieces.
 }
 
 // Batch says how one target of a service works on pieces.
 type Batch struct {
 	Slots     int           `json:"slots"`        // Calls in progress at once.
-	Queue     int           `json:"queue"`        // Calls that may wait.
 	Size      int           `json:"size"`         // Pieces in one call.
 	CallTime  time.Duration `json:"call_ns"`      // Time for a call of any size.
 	PieceTime time.Duration `json:"piece_ns"`     // Approximate time for a piece.
--- a/wire/client.go
+++ b/wire/client.go
@@ -87,9 +87,6 @@
 // Close closes the kept connections.
 func (c *Client) Close() { c.idle.Close() }
 
-// Drop closes the kept connections to an address.
-func (c *Client) Drop(address string) { c.idle.Drop(address) }
-
 func (c *Client) connect(ctx context.Context, call Call) (*Conn, error) {
 	if !call.Fresh {
 		if conn := c.idle.Take(call.Address, c.Clock.Now(), c.idleTimeout()); conn != nil {
--- a/wire/request.go
+++ b/wire/request.go
@@ -17,9 +17,6 @@
 	Headers Headers
 	Body    []byte
 	Close   bool // The caller uses the connection for no other request.
-	// Unread says that the body was not read, so that the connection must be
-	// closed after the answer.
-	Unread bool
 }
 
 // Host returns the host that the request names.
