Never block on logs, and watch silent links by the steady clock

Log lines went to standard output within the work that they tell of: a blocked output held it up. They pass through a bounded queue with a rate now; what is dropped is counted and told.

--- a/cmds/relay.go
+++ b/cmds/relay.go
@@ -16,6 +16,7 @@
 	"github.com/sirupsen/logrus"
 
 	"bergamotworks/fault"
+	"bergamotworks/logs"
 	"bergamotworks/platform"
 	"bergamotworks/ports"
 	"bergamotworks/serve"
@@ -95,9 +96,12 @@
 			if err != nil {
 				return err
 			}
-			log.SetOutput(s.stdout)
+			set := metrics.NewSet()
+			lines := &logs.Writer{Out: s.stdout, Clock: ports.SystemClock{}, Metrics: set}
+			lines.Start()
+			log.SetOutput(lines)
 			tuneMemory()
-			return relay(ctx, v, log)
+			return errors.Join(relay(ctx, v, log, set), lines.Close())
 		},
 	})
 	c.Options = append(c.Options,
@@ -106,9 +110,8 @@
 }
 
 // relay runs a node until the context ends, then stops it in order.
-func relay(ctx context.Context, v relaySettings, log *logrus.Logger) error {
+func relay(ctx context.Context, v relaySettings, log *logrus.Logger, set *metrics.Set) error {
 	entry := logrus.NewEntry(log)
-	set := metrics.NewSet()
 	dialed := set.NewCounter("wire_connections_total")
 	client := &wire.Client{Network: ports.SystemNetwork{}, Clock: ports.SystemClock{}, Dialed: dialed.Inc}
 	store := &platform.Store{Client: client, Address: v.store}
--- a/peer/link.go
+++ b/peer/link.go
@@ -32,7 +32,8 @@
 	conn     *jsonrpc2.Conn
 	err      error
 	stopped  atomic.Bool
-	received atomic.Int64  // Time of the last message in Unix nanoseconds.
+	begun    time.Time
+	received atomic.Int64  // Time of the last message in nanoseconds since the begin, by the steady clock.
 	waiting  atomic.Int64  // Number of calls that wait.
 	dormant  atomic.Bool   // No call waits and the silence is not watched.
 	called   chan struct{} // Ends the dormancy.
@@ -59,7 +60,7 @@
 			l.close()
 			return
 		case <-l.called:
-			l.received.Store(l.mesh.Clock.Now().UnixNano())
+			l.received.Store(int64(l.mesh.Clock.Now().Sub(l.begun)))
 			check = l.mesh.Clock.After(checkInterval)
 		case now := <-check:
 			check = nil
@@ -83,7 +84,7 @@
 		l.fail(fault.New(fault.Unavailable, fault.NotRun, "connect to VM %s: %s", l.vm, err))
 		return
 	}
-	l.received.Store(l.mesh.Clock.Now().UnixNano())
+	l.received.Store(int64(l.mesh.Clock.Now().Sub(l.begun)))
 	l.stream = &writeLimited{Conn: stream, clock: l.mesh.Clock}
 	l.chunks = make(map[uint64]func(json.RawMessage))
 	l.conn = jsonrpc2.NewConn(context.Background(), jsonrpc2.NewPlainObjectStream(l.stream), l, jsonrpc2.OnRecv(l.onReceive), jsonrpc2.SetLogger(protocolLog{l.mesh.Log}))
@@ -136,7 +137,7 @@
 		l.dormant.Store(true)
 		return l.waiting.Load() > 0 && l.dormant.CompareAndSwap(true, false)
 	}
-	silence := now.Sub(time.Unix(0, l.received.Load()))
+	silence := now.Sub(l.begun) - time.Duration(l.received.Load())
 	switch {
 	case silence > silentAfter:
 		l.mesh.count("peer_silent_connections_total")
@@ -156,7 +157,7 @@
 }
 
 func (l *link) onReceive(*jsonrpc2.Request, *jsonrpc2.Response) {
-	l.received.Store(l.mesh.Clock.Now().UnixNano())
+	l.received.Store(int64(l.mesh.Clock.Now().Sub(l.begun)))
 }
 
 // Handle receives the chunks of streamed answers.
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -112,7 +112,7 @@
 	}
 	l := m.links[vm]
 	if l == nil || l.broken() {
-		l = &link{mesh: m, vm: vm, ready: make(chan struct{}), called: make(chan struct{}, 1)}
+		l = &link{mesh: m, vm: vm, begun: m.Clock.Now(), ready: make(chan struct{}), called: make(chan struct{}, 1)}
 		if m.links == nil {
 			m.links = make(map[string]*link)
 		}
