--- a/news/service.go
+++ b/news/service.go
@@ -20,7 +20,7 @@
 const MethodTell = "news.tell"
 
 const (
-	readInterval   = 900 * time.Millisecond // Between two readings of the directory.
+	readInterval   = 1050 * time.Millisecond // Between two readings of the directory.
 	failedInterval = 300 * time.Millisecond // Between two tries while the store does not answer.
 	readTimeout    = 800 * time.Millisecond
 	// watchTime bounds the time for which a connection that fell silent hides
