--- a/news/service.go
+++ b/news/service.go
@@ -21,7 +21,7 @@
 
 const (
 	readInterval   = 1050 * time.Millisecond // Between two readings of the directory.
-	failedInterval = 300 * time.Millisecond // Between two tries while the store does not answer.
+	failedInterval = 300 * time.Millisecond  // Between two tries while the store does not answer.
 	readTimeout    = 800 * time.Millisecond
 	// watchTime bounds the time for which a connection that fell silent hides
 	// what operators write.
@@ -32,8 +32,7 @@
 
 // Source reads the store.
 type Source interface {
-	// Directory returns the targets that are registered, and the failure
-	// domains that are taken out if they stand there too.
+	// Directory returns the targets that are registered, without departures.
 	Directory(ctx context.Context) (site.Directory, error)
 	// Operated returns the configuration and the failure domains that are
 	// taken out, with the store's revision. An unknown configuration means
