Read the limits of a table under its lock, and drop repeated pieces

The line about a target's measured memory read the table's limits outside the service's mutex, which tick may replace: a data race that no race run has met. Fields of one connection are listed once, answers are flushed in one place, the time of a call is worked out in one place, defaults by cmp.Or; a release performed actions that it never has.

--- a/batch/dispatch.go
+++ b/batch/dispatch.go
@@ -113,10 +113,10 @@
 	if w.Crossing < largeCrossing || w.Domain == "" || w.Domain == k.target.Domain {
 		return false
 	}
-	return now.Sub(g.since) < domainWait && t.hasWorkerIn(w.Domain)
+	return now.Sub(g.since) < domainWait && t.hasTargetIn(w.Domain)
 }
 
-func (t *Table) hasWorkerIn(domain string) bool {
+func (t *Table) hasTargetIn(domain string) bool {
 	for _, k := range t.targets {
 		if k.usable && k.target.Domain == domain {
 			return true
--- a/batch/perform.go
+++ b/batch/perform.go
@@ -38,8 +38,7 @@
 
 // callLimit returns the time after which a call counts as lost.
 func (g *gathered) callLimit(pieces int) time.Duration {
-	l := g.table.Limits
-	return 2*(l.CallTime+time.Duration(pieces)*l.PieceTime) + callSlack
+	return 2*g.table.callTime(pieces) + callSlack
 }
 
 // calling is a call in progress.
@@ -138,9 +137,9 @@
 		s.Log.WithFields(logrus.Fields{"target": m.target.ID, "error": err.Error()}).Warn("free memory of target unknown")
 		return
 	}
-	s.Log.WithFields(logrus.Fields{"service": m.gathered.name, "target": m.target.ID, "free_bytes": room, "limit_bytes": m.gathered.table.Limits.RoomBytes}).Info("memory of target measured")
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	s.Log.WithFields(logrus.Fields{"service": m.gathered.name, "target": m.target.ID, "free_bytes": room, "limit_bytes": m.gathered.table.Limits.RoomBytes}).Info("memory of target measured")
 	m.gathered.table.Measured(s.Clock.Now(), m.target.ID, room)
 	s.perform(m.gathered)
 }
--- a/batch/service.go
+++ b/batch/service.go
@@ -262,7 +262,6 @@
 	defer s.mutex.Unlock()
 	if g := s.tables[service]; g != nil {
 		g.table.Release(list)
-		s.perform(g)
 	}
 }
 
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -41,8 +42,8 @@
 	j.begun = true
 	j.writeHead(a, wire.Header{Name: "Content-Length", Value: strconv.Itoa(len(data))})
 	_, _ = j.session.writer.Write(data) // Errors show up when the buffer is flushed.
-	if err := j.session.writer.Flush(); err != nil {
-		return &callerGone{cause: err}
+	if err := j.flush(); err != nil {
+		return err
 	}
 	j.finished = true
 	return nil
@@ -53,10 +54,10 @@
 	j.status = a.Status
 	var b strings.Builder
 	fmt.Fprintf(&b, "HTTP/1.1 %d %s\r\n", a.Status, http.StatusText(a.Status))
-	listed := connectionFields(a.Headers)
+	hop, listed := hopFields(), connectionFields(a.Headers)
 	for _, h := range a.Headers {
 		name := strings.ToLower(h.Name)
-		if hopField(name) || listed[name] {
+		if slices.Contains(hop, name) || listed[name] {
 			continue
 		}
 		b.WriteString(h.Name + ": " + h.Value + "\r\n")
@@ -68,13 +69,20 @@
 	_, _ = j.session.writer.WriteString(b.String()) // Errors show up when the buffer is flushed.
 }
 
-// hopField reports whether a field concerns one connection only.
-func hopField(lower string) bool {
-	switch lower {
-	case hopConnection, "keep-alive", "proxy-connection", "proxy-authenticate", "te", "trailer", "transfer-encoding", "upgrade", "content-length":
-		return true
+// hopFields returns the fields, in lower case, that concern one connection only.
+func hopFields() []string {
+	return []string{
+		hopConnection, "keep-alive", "proxy-connection", "proxy-authenticate", "te", "trailer",
+		"transfer-encoding", "upgrade", "content-length",
 	}
-	return false
+}
+
+// flush sends what has been written to the caller.
+func (j *job) flush() error {
+	if err := j.session.writer.Flush(); err != nil {
+		return &callerGone{cause: err}
+	}
+	return nil
 }
 
 // passEvents passes a stream on, event by event.
@@ -112,10 +120,7 @@
 	_, _ = w.WriteString(strconv.FormatInt(int64(len(events)), 16) + "\r\n") // Errors show up when the buffer is flushed.
 	_, _ = w.Write(events)
 	_, _ = w.WriteString("\r\n")
-	if err := w.Flush(); err != nil {
-		return &callerGone{cause: err}
-	}
-	return nil
+	return j.flush()
 }
 
 func (j *job) beginEvents(a *wire.Answer) {
@@ -135,8 +140,8 @@
 	j.session.allowWrite(j.left())
 	j.beginEvents(a)
 	_, _ = j.session.writer.WriteString("0\r\n\r\n") // Errors show up when the buffer is flushed.
-	if err := j.session.writer.Flush(); err != nil {
-		return &callerGone{cause: err}
+	if err := j.flush(); err != nil {
+		return err
 	}
 	j.finished = true
 	return nil
--- a/relay/events.go
+++ b/relay/events.go
@@ -22,8 +22,7 @@
 	pending []byte
 }
 
-// next returns the whole events that have arrived. They are valid until the
-// next call. The error is errWholeStream after the end of a stream.
+// next returns the whole events that have arrived. The error is errWholeStream after the end of a stream.
 func (r *eventReader) next() ([]byte, error) {
 	if r.pending == nil {
 		r.pending = make([]byte, 0, eventBufferSize)
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -287,12 +287,11 @@
 
 // ownFields returns the fields that are never passed on from a caller.
 func ownFields(n Names) map[string]bool {
-	own := map[string]bool{
-		hopConnection: true, "keep-alive": true, "proxy-connection": true, "proxy-authenticate": true,
-		"proxy-authorization": true, "te": true, "trailer": true, "transfer-encoding": true, "upgrade": true,
-		"content-length": true, "expect": true,
+	own := make(map[string]bool)
+	for _, f := range hopFields() {
+		own[f] = true
 	}
-	for _, f := range append([]string{n.Key, n.Account, n.Target, n.Inputs, n.Urgency, n.Deadline}, n.Own...) {
+	for _, f := range append([]string{"proxy-authorization", "expect", n.Key, n.Account, n.Target, n.Inputs, n.Urgency, n.Deadline}, n.Own...) {
 		own[strings.ToLower(f)] = true
 	}
 	return own
--- a/relay/session.go
+++ b/relay/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -84,7 +85,7 @@
 // read waits for a request and reads it whole.
 func (c *session) read() (*wire.Request, bool) {
 	limits := c.server.Config().Limits
-	c.wait(orDefault(limits.IdleTimeout, defaultIdle))
+	c.wait(cmp.Or(limits.IdleTimeout, defaultIdle))
 	if c.server.draining.Load() && c.reader.Buffered() == 0 {
 		c.endIfIdle()
 	}
@@ -92,7 +93,7 @@
 		return nil, false
 	}
 	c.busy.Store(true)
-	c.wait(orDefault(limits.HeaderTimeout, defaultHeadTime))
+	c.wait(cmp.Or(limits.HeaderTimeout, defaultHeadTime))
 	r := wire.Reader{Buffer: c.reader, Continue: c.sendContinue}
 	q, err := r.ReadHead()
 	if err != nil {
@@ -100,24 +101,14 @@
 		return nil, false
 	}
 	c.wait(bodyTime)
-	limit := int64(limits.BodyBytes)
-	if limit == 0 {
-		limit = defaultBodyBytes
-	}
-	if err := r.ReadBody(q, limit); err != nil {
+	limit := cmp.Or(limits.BodyBytes, defaultBodyBytes)
+	if err := r.ReadBody(q, int64(limit)); err != nil {
 		c.refuseUnread(err)
 		return nil, false
 	}
 	return q, true
 }
 
-func orDefault(d, fallback time.Duration) time.Duration {
-	if d == 0 {
-		return fallback
-	}
-	return d
-}
-
 func (c *session) wait(d time.Duration) {
 	_ = c.conn.SetReadDeadline(c.server.Clock.Now().Add(d)) // An error shows up at the next read.
 }
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -1,6 +1,9 @@
 package retry
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 const (
 	floorPerSecond = 0.5 // Retries allowed without any first attempt.
@@ -49,15 +52,9 @@
 }
 
 func (b *Budget) floor() float64 {
-	if b.Floor == 0 {
-		return floorPerSecond
-	}
-	return b.Floor
+	return cmp.Or(b.Floor, floorPerSecond)
 }
 
 func (b *Budget) largest() float64 {
-	if b.Largest == 0 {
-		return largestSaving
-	}
-	return b.Largest
+	return cmp.Or(b.Largest, largestSaving)
 }
--- a/wire/client.go
+++ b/wire/client.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -93,11 +94,7 @@
 			return conn, nil
 		}
 	}
-	wait := c.DialTimeout
-	if wait == 0 {
-		wait = defaultDialTimeout
-	}
-	dialing, cancel := context.WithTimeout(ctx, wait)
+	dialing, cancel := context.WithTimeout(ctx, cmp.Or(c.DialTimeout, defaultDialTimeout))
 	defer cancel()
 	stream, err := c.Network.Dial(dialing, call.Address)
 	if c.Dialed != nil {
@@ -114,10 +111,7 @@
 }
 
 func (c *Client) idleTimeout() time.Duration {
-	if c.IdleTimeout == 0 {
-		return defaultIdleTimeout
-	}
-	return c.IdleTimeout
+	return cmp.Or(c.IdleTimeout, defaultIdleTimeout)
 }
 
 // endKind returns why a context ended.
