Serve opaque routes on the product's own interface

Until now routes with opaque bodies, stages of pieces, affinity and results by handle existed on the users' platform only. They are in release notes now (section routes, batch of a service), checked like the rest, and node/routes.go serves them by relay and batch with the product's own header names and its own protocol for pieces; the demo and the stand-ins show one. Found on the way: the stored image of a configuration dropped the new section ('no route' on every node); TestImage now walks all sections and failed first. Limits of the fleet (retry share) are read when used, so that a release note changes them.

--- a/cmds/serve.go
+++ b/cmds/serve.go
@@ -40,6 +40,7 @@
 	flags.StringVar(&n.Domain, "domain", "", "failure domain of this VM (required)")
 	flags.StringVar(&n.Region, "region", "", "region of this VM")
 	flags.StringVar(&n.Listen, "listen", "127.0.0.1:8080", "callers' address, IP:port")
+	flags.StringVar(&n.Routes, "routes-listen", "", "address for callers of opaque routes, IP:port; empty for none")
 	flags.StringVar(&n.Admin, "admin-listen", defaultAdmin, "operators' address, IP:port")
 	flags.StringVar(&n.Peer, "peer-listen", "127.0.0.1:7071", "address for other nodes, TCP, IP:port")
 	flags.StringVar(&n.Gossip, "gossip-listen", "127.0.0.1:7072", "address for membership, UDP, IP:port")
--- a/conf/image.go
+++ b/conf/image.go
@@ -92,6 +92,7 @@
 	put("objectives", len(s.Objectives), note.Sections{Objectives: s.Objectives})
 	put("orders", len(s.Orders), note.Sections{Orders: s.Orders})
 	put("limits", len(s.Limits), note.Sections{Limits: s.Limits})
+	put("routes", len(s.Routes), note.Sections{Routes: s.Routes})
 	for name, t := range s.Targets {
 		group := strings.Join([]string{"targets", t.Service, t.Domain}, ".")
 		if result[group].Targets == nil {
@@ -113,6 +114,7 @@
 		Objectives: joinMaps(a.Objectives, b.Objectives),
 		Orders:     joinMaps(a.Orders, b.Orders),
 		Limits:     joinMaps(a.Limits, b.Limits),
+		Routes:     joinMaps(a.Routes, b.Routes),
 	}
 }
 
--- a/demo/standin.go
+++ b/demo/standin.go
@@ -8,13 +8,14 @@
 	"bergamotworks/ports"
 )
 
-// StandIns starts stand-ins for all targets of a shipped deployment. It returns
-// them with the release note in which their addresses stand.
+// StandIns starts stand-ins for all targets of a shipped deployment and of an
+// opaque route beside it. It returns them with the release note in which their addresses stand.
 func StandIns(deployment string) (*emul.Fleet, note.Note, error) {
 	shipped, err := note.Shipped(deployment)
 	if err != nil {
 		return nil, note.Note{}, err
 	}
+	shipped = withRoute(shipped)
 	config, err := note.Apply(note.Config{}, shipped)
 	if err != nil {
 		return nil, note.Note{}, err
--- a/demo/system.go
+++ b/demo/system.go
@@ -150,7 +150,7 @@
 		VM:     "vm-" + strconv.Itoa(index+1),
 		Domain: domain,
 		Region: s.config.Sections.Domains[domain].Region,
-		Listen: "127.0.0.1:0", Admin: "127.0.0.1:0", Peer: "127.0.0.1:0", Gossip: s.seeds[index],
+		Listen: "127.0.0.1:0", Admin: "127.0.0.1:0", Peer: "127.0.0.1:0", Gossip: s.seeds[index], Routes: "127.0.0.1:0",
 		Seeds: s.seeds, DrainLimit: drainLimit, Policy: s.Policy, StoreCalls: storeCalls,
 	}
 	if settings.Region == "" {
@@ -232,6 +232,15 @@
 	return addresses
 }
 
+// RouteAddresses returns the nodes' addresses for opaque routes.
+func (s *System) RouteAddresses() []string {
+	var addresses []string
+	for i := range s.Size {
+		addresses = append(addresses, s.Node(i).RoutesAddress())
+	}
+	return addresses
+}
+
 // AdminAddresses returns the operators' addresses of all nodes.
 func (s *System) AdminAddresses() []string {
 	addresses := make([]string, s.Size)
--- a/demo/tour.go
+++ b/demo/tour.go
@@ -36,6 +36,11 @@
 			return err
 		}
 	}
+	if len(config.Sections.Routes) > 0 {
+		if err := t.showRoute(account); err != nil {
+			return err
+		}
+	}
 	t.printHint(addresses[0], account, config)
 	return nil
 }
--- a/emul/handler.go
+++ b/emul/handler.go
@@ -27,6 +27,10 @@
 
 func (h handler) serve(ctx *fasthttp.RequestCtx) {
 	ctx.Response.Header.SetBytesV(engine.HeaderRequestID, ctx.Request.Header.Peek(engine.HeaderRequestID))
+	if opaque(ctx) {
+		h.route(ctx)
+		return
+	}
 	switch string(ctx.Path()) {
 	case "/v1/completions":
 		h.completion(ctx)
--- a/emul/target.go
+++ b/emul/target.go
@@ -68,6 +68,8 @@
 	cancel  context.CancelFunc
 	links   *linkListener
 	batch   batch
+	results map[string]bool // Handles of the results of pieces.
+	made    int             // Results made so far.
 }
 
 // errClosed means that the target was closed.
@@ -103,7 +105,7 @@
 		return errClosed
 	}
 	t.Address = listener.Addr().String()
-	l := &life{links: newLinkListener(listener), batch: batch{service: t.Service}}
+	l := &life{links: newLinkListener(listener), batch: batch{service: t.Service}, results: make(map[string]bool)}
 	l.context, l.cancel = context.WithCancel(t.context)
 	if warm {
 		l.batch.completed = max(t.Service.WarmUpCalls, defaultWarmUpCalls)
--- a/node/assemble.go
+++ b/node/assemble.go
@@ -35,13 +35,14 @@
 	n.assembleWork()
 	n.assembleOrders()
 	n.assembleServers(listeners)
+	n.assembleRoutes(listeners.routes)
 	n.connect()
 	return nil
 }
 
 // listeners are the open sockets of a node.
 type listeners struct {
-	callers, admin, peer net.Listener
+	callers, admin, peer, routes net.Listener // Routes may be nil.
 }
 
 func (n *Node) listen() (listeners, error) {
@@ -56,6 +57,12 @@
 	if l.peer, err = n.Network.Listen(n.Settings.Peer); err != nil {
 		return l, trace.Wrap(err)
 	}
+	if n.Settings.Routes == "" {
+		return n.protect(l)
+	}
+	if l.routes, err = n.Network.Listen(n.Settings.Routes); err != nil {
+		return l, trace.Wrap(err)
+	}
 	return n.protect(l)
 }
 
@@ -70,6 +77,9 @@
 	}
 	l.callers = tls.NewListener(l.callers, loader.Config())
 	l.admin = tls.NewListener(l.admin, loader.Config())
+	if l.routes != nil {
+		l.routes = tls.NewListener(l.routes, loader.Config())
+	}
 	return l, nil
 }
 
--- a/node/follow.go
+++ b/node/follow.go
@@ -34,6 +34,7 @@
 
 func (n *Node) configChanged(config note.Config) {
 	n.flow.Configured(config)
+	n.routes.configured(config)
 	n.burns.Configure(config.Sections.Objectives)
 	n.changes.add(n.Clock.Now(), config)
 	n.owner.Changed()
--- a/node/node.go
+++ b/node/node.go
@@ -55,6 +55,7 @@
 	changes  changeLog
 	entry    *entry.Server
 	admin    *admin.Server
+	routes   *routes // Nil if no opaque routes are served.
 	stopping atomic.Bool
 	cancel   context.CancelFunc
 	finished chan struct{}
@@ -87,6 +88,9 @@
 	}{
 		n.peers, n.members, n.conf, n.ledger, n.owner, n.flow, n.orders, n.entry, n.admin,
 	}
+	if n.routes != nil {
+		parts = append(parts, n.routes)
+	}
 	for _, p := range parts {
 		group.Go(func() error { return p.Run(ctx) })
 	}
@@ -101,6 +105,7 @@
 // closeParts waits for what the parts have started.
 func (n *Node) closeParts() {
 	_ = n.entry.Close()
+	_ = n.routes.Close()
 	_ = n.flow.Close()
 	_ = n.orders.Close()
 	_ = n.peers.Close()
@@ -121,6 +126,14 @@
 // Address returns the callers' address.
 func (n *Node) Address() string { return n.entry.Listener.Addr().String() }
 
+// RoutesAddress returns the address of opaque routes, empty if there is none.
+func (n *Node) RoutesAddress() string {
+	if n.routes == nil {
+		return ""
+	}
+	return n.routes.server.Listener.Addr().String()
+}
+
 // AdminAddress returns the operators' address.
 func (n *Node) AdminAddress() string { return n.admin.Listener.Addr().String() }
 
--- /dev/null
+++ b/node/routes.go
@@ -0,0 +1,212 @@
+package node
+
+import (
+	"context"
+	"maps"
+	"net"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"bergamotworks/batch"
+	"bergamotworks/engine"
+	"bergamotworks/note"
+	"bergamotworks/peer"
+	"bergamotworks/relay"
+	"bergamotworks/site"
+	"bergamotworks/wire"
+)
+
+// The bounds that all nodes keep together on opaque routes.
+const (
+	routeRetrySlack  = 50
+	routeRetryWindow = 10 * time.Second
+	drainPoll        = 50 * time.Millisecond
+	// urgentPriority is the priority of the most urgent class.
+	urgentPriority  = 100
+	defaultAttempts = 3
+)
+
+// routes serves the opaque routes of the configuration. A nil value serves none.
+type routes struct {
+	node      *Node
+	client    *wire.Client
+	server    *relay.Server
+	batch     *batch.Service
+	config    atomic.Pointer[site.Config]
+	directory atomic.Pointer[site.Directory]
+}
+
+// assembleRoutes builds the part for opaque routes; listener may be nil.
+func (n *Node) assembleRoutes(listener net.Listener) {
+	if listener == nil {
+		return
+	}
+	r := &routes{node: n, client: &wire.Client{Network: n.Network, Clock: n.Clock}}
+	r.batch = &batch.Service{
+		Self: n.Settings.VM, Config: r.currentConfig, Directory: r.currentDirectory, View: n.members.View,
+		Runner: &engine.Pieces{Client: r.client}, Peers: n.peers, Clock: n.Clock, Log: n.logger("batch"), Metrics: n.metrics,
+	}
+	r.server = &relay.Server{
+		Listener: listener, Names: relay.DefaultNames(), Domain: n.Settings.Domain, Config: r.currentConfig,
+		Directory: r.currentDirectory, View: n.members.View, Stages: r.batch, Client: r.client,
+		Bounds: r.bounds, Clock: n.Clock, Random: n.Random, Log: n.logger("relay"), Metrics: n.metrics,
+	}
+	n.peers.Register(batch.MethodSubmit, peer.Typed(r.batch.HandleSubmit))
+	n.peers.Register(batch.MethodRelease, peer.Typed(r.batch.HandleRelease))
+	n.routes = r
+}
+
+// Run serves until the context ends.
+func (r *routes) Run(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = r.server.Close() }) // Run reports what went wrong.
+	defer stop()
+	done := make(chan error, 1)
+	go r.run(ctx, done)
+	err := r.server.Run(ctx)
+	return trace.NewAggregate(err, <-done)
+}
+
+// run gathers pieces until the context ends.
+func (r *routes) run(ctx context.Context, done chan<- error) { done <- r.batch.Run(ctx) }
+
+// Close ends the requests and calls in progress and waits for them.
+func (r *routes) Close() error {
+	if r == nil {
+		return nil
+	}
+	err := trace.NewAggregate(r.server.Close(), r.batch.Close())
+	r.client.Close()
+	return err
+}
+
+// leave hands the waiting pieces to other nodes.
+func (r *routes) leave() {
+	if r != nil {
+		r.batch.Leave()
+	}
+}
+
+// drain takes no new callers and waits until no request is under way.
+func (r *routes) drain(ctx context.Context) error {
+	if r == nil {
+		return nil
+	}
+	r.server.Drain()
+	for {
+		if connections, _ := r.server.Active(); connections == 0 {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return trace.Wrap(ctx.Err())
+		case <-r.node.Clock.After(drainPoll):
+		}
+	}
+}
+
+// configured takes over a configuration.
+func (r *routes) configured(config note.Config) {
+	if r == nil {
+		return
+	}
+	c, d := siteConfig(config), siteDirectory(config)
+	r.config.Store(&c)
+	r.directory.Store(&d)
+}
+
+// bounds returns the limits that all nodes keep together.
+func (r *routes) bounds() relay.Bounds {
+	return relay.Bounds{
+		RetryShare: r.node.conf.Current().Limits().RetryShare, RetrySlack: routeRetrySlack, RetryWindow: routeRetryWindow, ColdFactor: 1,
+	}
+}
+
+func (r *routes) currentConfig() site.Config {
+	if c := r.config.Load(); c != nil {
+		return *c
+	}
+	return site.Config{}
+}
+
+func (r *routes) currentDirectory() site.Directory {
+	if d := r.directory.Load(); d != nil {
+		return *d
+	}
+	return site.Directory{}
+}
+
+// siteConfig returns the part of a configuration that concerns opaque routes.
+func siteConfig(config note.Config) site.Config {
+	s := config.Sections
+	c := site.Config{Version: config.Revision, Limits: site.Limits{BodyBytes: config.Limits().MaxBodyBytes}}
+	for _, name := range slices.Sorted(maps.Keys(s.Routes)) {
+		c.Routes = append(c.Routes, siteRoute(name, s.Routes[name], s.Classes))
+	}
+	for _, name := range slices.Sorted(maps.Keys(s.Services)) {
+		c.Services = append(c.Services, siteService(name, s.Services[name]))
+	}
+	for _, name := range slices.Sorted(maps.Keys(s.Accounts)) {
+		c.Accounts = append(c.Accounts, siteAccount(name, s.Accounts[name]))
+	}
+	return site.NewConfig(c)
+}
+
+func siteRoute(name string, r note.Route, classes map[string]note.Class) site.Route {
+	route := site.Route{
+		Name: name, Host: r.Host, Prefix: r.Prefix, Kind: r.Kind, Timeout: milliseconds(r.DeadlineMS),
+		Target: milliseconds(r.TargetMS), Gap: milliseconds(r.GapMS), Priority: urgentPriority - classes[r.Class].Priority,
+		Attempts: r.Attempts, Backends: []site.Backend{{Service: r.Service, Weight: 1}},
+		Resumable: r.Resumable, Affinity: r.Affinity,
+	}
+	if route.Target == 0 {
+		route.Target = route.Timeout
+	}
+	if route.Attempts == 0 {
+		route.Attempts = defaultAttempts
+	}
+	for _, s := range r.Stages {
+		route.Stages = append(route.Stages, site.Stage{Service: s.Service, After: s.After, Bytes: s.Bytes})
+	}
+	return route
+}
+
+func siteService(name string, s note.Service) site.Service {
+	service := site.Service{Name: name}
+	if b := s.Batch; b != nil {
+		service.Batch = &site.Batch{
+			Slots: b.Slots, Size: b.Size, CallTime: milliseconds(b.CallMS), PieceTime: milliseconds(b.PieceMS),
+			RoomBytes: b.RoomBytes, Retention: milliseconds(b.RetentionMS),
+		}
+	}
+	return service
+}
+
+// siteAccount returns a client account. Its name is its key unless it has one.
+func siteAccount(name string, a note.ClientAccount) site.Account {
+	if a.KeyHash == "" {
+		return site.Account{Name: name, Keys: []string{name}}
+	}
+	return site.Account{Name: name, KeyHashes: []string{a.KeyHash}}
+}
+
+// siteDirectory returns the targets of a configuration.
+func siteDirectory(config note.Config) site.Directory {
+	d := site.Directory{Revision: config.Revision, Departed: make(map[string]bool)}
+	for name, f := range config.Sections.Domains {
+		if f.State != note.InService {
+			d.Departed[name] = true
+		}
+	}
+	for name, t := range config.Sections.Targets {
+		d.Targets = append(d.Targets, site.Target{
+			ID: name, Service: t.Service, Address: t.Address, Domain: t.Domain,
+			Slots: config.Sections.Services[t.Service].WarmLimit, Leaving: t.State != note.InService,
+		})
+	}
+	return site.NewDirectory(d)
+}
+
+func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
--- a/node/settings.go
+++ b/node/settings.go
@@ -15,6 +15,7 @@
 	Region string
 	// The addresses that the node listens on, IP:port. Port zero takes a free port.
 	Listen string // Callers.
+	Routes string // Callers of opaque routes; empty serves none.
 	Admin  string // Operators.
 	Peer   string // Other nodes, TCP.
 	Gossip string // Membership, UDP.
@@ -45,6 +46,9 @@
 	addresses := []struct{ name, value string }{
 		{"listen", s.Listen}, {"admin-listen", s.Admin}, {"peer-listen", s.Peer}, {"gossip-listen", s.Gossip},
 	}
+	if s.Routes != "" {
+		addresses = append(addresses, struct{ name, value string }{"routes-listen", s.Routes})
+	}
 	for _, a := range addresses {
 		if _, err := netip.ParseAddrPort(a.value); err != nil {
 			return fault.BadField(a.name, "%q is not IP:port", a.value)
--- a/node/stop.go
+++ b/node/stop.go
@@ -20,7 +20,8 @@
 	ctx, cancel := context.WithTimeout(ctx, n.Settings.DrainLimit)
 	defer cancel()
 	n.owner.Leave()
-	steps := []func(context.Context) error{n.members.Leave, n.entry.Drain, n.flow.Drain, n.owner.Drain, n.ledger.Flush}
+	n.routes.leave()
+	steps := []func(context.Context) error{n.members.Leave, n.entry.Drain, n.routes.drain, n.flow.Drain, n.owner.Drain, n.ledger.Flush}
 	var failure error
 	for _, s := range steps {
 		if err := s(ctx); err != nil && failure == nil {
--- a/note/apply.go
+++ b/note/apply.go
@@ -33,7 +33,7 @@
 }
 
 func merge(s Sections, n Note) (Sections, error) {
-	var errs [9]error
+	var errs [10]error
 	a, c, w := n.Added, n.Changed, n.Withdrawn
 	s.Domains, errs[0] = mergeMap("domains", s.Domains, a.Domains, c.Domains, w.Domains)
 	s.Services, errs[1] = mergeMap("services", s.Services, a.Services, c.Services, w.Services)
@@ -44,6 +44,7 @@
 	s.Objectives, errs[6] = mergeMap("objectives", s.Objectives, a.Objectives, c.Objectives, w.Objectives)
 	s.Orders, errs[7] = mergeMap("orders", s.Orders, a.Orders, c.Orders, w.Orders)
 	s.Limits, errs[8] = mergeMap("limits", s.Limits, a.Limits, c.Limits, w.Limits)
+	s.Routes, errs[9] = mergeMap("routes", s.Routes, a.Routes, c.Routes, w.Routes)
 	return s, first(errs[:]...)
 }
 
@@ -142,6 +143,8 @@
 		_, ok = s.Orders[name]
 	case "limits":
 		_, ok = s.Limits[name]
+	case "routes":
+		_, ok = s.Routes[name]
 	}
 	return ok
 }
--- a/note/check.go
+++ b/note/check.go
@@ -57,6 +57,8 @@
 		func() error { return each("orders", s.Orders, s.checkOrder) },
 		s.checkOrders,
 		func() error { return each("limits", s.Limits, checkLimits) },
+		func() error { return each("routes", s.Routes, s.checkRoute) },
+		s.checkPlaces,
 	}
 	for _, check := range checks {
 		if err := check(); err != nil {
@@ -68,7 +70,7 @@
 
 // each checks the objects of one section in the order of their names.
 func each[T any](section string, objects map[string]T, check func(path string, object T) error) error {
-	for _, name := range slices.Sorted(maps.Keys(objects)) {
+	for _, name := range sortedNames(objects) {
 		if !namePattern.MatchString(name) {
 			return fault.BadField(section, "%q is no valid name", name)
 		}
@@ -93,6 +95,11 @@
 	if s.Kind == Generate && s.Model == "" {
 		return fault.BadField(join(path, "model"), "missing for a generate service")
 	}
+	if s.Batch != nil {
+		if err := s.Batch.check(join(path, "batch")); err != nil {
+			return err
+		}
+	}
 	return first(
 		within(join(path, "warm_limit"), s.WarmLimit, 1, maxLimit),
 		within(join(path, "cold_limit"), s.ColdLimit, 1, s.WarmLimit),
@@ -119,7 +126,7 @@
 // checkAddresses finds two targets at one address.
 func (s Sections) checkAddresses() error {
 	owners := map[string]string{}
-	for _, name := range slices.Sorted(maps.Keys(s.Targets)) {
+	for _, name := range sortedNames(s.Targets) {
 		address := s.Targets[name].Address
 		if owner, ok := owners[address]; ok {
 			return fault.BadField("targets."+name+".address", "%s is the address of target %s", address, owner)
@@ -138,7 +145,7 @@
 
 func (s Sections) checkShares() error {
 	sum := 0.0
-	for _, name := range slices.Sorted(maps.Keys(s.Classes)) {
+	for _, name := range sortedNames(s.Classes) {
 		sum += s.Classes[name].Share
 		if sum > 1+shareTolerance {
 			return fault.BadField("classes."+name+".share", "the shares of all classes exceed 1")
@@ -157,6 +164,11 @@
 	return nil
 }
 
+// sortedNames returns the names of objects in order.
+func sortedNames[T any](objects map[string]T) []string {
+	return slices.Sorted(maps.Keys(objects))
+}
+
 func within[T int | int64 | float64](path string, value, low, high T) error {
 	if value >= low && value <= high {
 		return nil
--- a/note/checkwork.go
+++ b/note/checkwork.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"maps"
-	"slices"
 
 	"bergamotworks/fault"
 )
@@ -37,6 +35,9 @@
 	if err := known(join(path, "service"), "service", stage.Service, s.Services); err != nil {
 		return err
 	}
+	if s.Services[stage.Service].Batch != nil {
+		return fault.BadField(join(path, "service"), "service %q works on pieces only", stage.Service)
+	}
 	if s.Services[stage.Service].Kind == Generate {
 		return within(join(path, "max_tokens"), stage.MaxTokens, 1, maxTokens)
 	}
@@ -116,7 +117,7 @@
 
 // checkOrders finds two orders that would undo one another on a target.
 func (s Sections) checkOrders() error {
-	names := slices.Sorted(maps.Keys(s.Orders))
+	names := sortedNames(s.Orders)
 	for i, name := range names {
 		for _, earlier := range names[:i] {
 			if s.Orders[earlier].contradicts(s.Orders[name]) {
--- a/note/config.go
+++ b/note/config.go
@@ -33,6 +33,7 @@
 	Objectives map[string]Objective     `json:"objectives,omitempty"`
 	Orders     map[string]EngineOrder   `json:"orders,omitempty"`
 	Limits     map[string]Limits        `json:"limits,omitempty"` // The only name is "system".
+	Routes     map[string]Route         `json:"routes,omitempty"`
 }
 
 // State says whether an object takes new work.
@@ -91,6 +92,8 @@
 	IdleColdMS int64 `json:"idle_cold_ms,omitempty"`
 	// RefusesOldFences says that targets refuse an order with an old fencing number.
 	RefusesOldFences bool `json:"refuses_old_fences,omitempty"`
+	// Batch is set if the targets work on pieces of stages.
+	Batch *Batch `json:"batch,omitempty"`
 }
 
 // Typical returns the usual time of one call.
--- a/note/decode.go
+++ b/note/decode.go
@@ -50,6 +50,8 @@
 		return fault.BadField(path, "null is not allowed")
 	}
 	switch t.Kind() {
+	case reflect.Pointer:
+		return checkValue(path, raw, t.Elem())
 	case reflect.Struct:
 		return checkStruct(path, raw, t)
 	case reflect.Map:
--- a/note/note.go
+++ b/note/note.go
@@ -25,4 +25,5 @@
 	Objectives []string `json:"objectives,omitempty"`
 	Orders     []string `json:"orders,omitempty"`
 	Limits     []string `json:"limits,omitempty"`
+	Routes     []string `json:"routes,omitempty"`
 }
--- a/relay/budget.go
+++ b/relay/budget.go
@@ -35,9 +35,10 @@
 		b = &retry.Budget{}
 		s.budgets[service] = b
 	}
-	slack := s.Bounds.RetrySlack / s.nodes()
-	b.Share = s.Bounds.RetryShare * shareUsed
+	bounds := s.Bounds()
+	slack := bounds.RetrySlack / s.nodes()
+	b.Share = bounds.RetryShare * shareUsed
 	b.Largest = max(1, slack*slackSaved)
-	b.Floor = slack * slackDrawn / s.Bounds.RetryWindow.Seconds()
+	b.Floor = slack * slackDrawn / bounds.RetryWindow.Seconds()
 	return b
 }
--- a/relay/server.go
+++ b/relay/server.go
@@ -52,7 +52,7 @@
 	View      func() member.View
 	Stages    Stages
 	Client    *wire.Client
-	Bounds    Bounds
+	Bounds    func() Bounds
 	Clock     ports.Clock
 	Random    ports.Random
 	Log       *logrus.Entry
--- a/relay/stages.go
+++ b/relay/stages.go
@@ -282,5 +282,5 @@
 	if !ok {
 		return 1
 	}
-	return service.ColdRate * j.server.Bounds.ColdFactor / j.server.nodes()
+	return service.ColdRate * j.server.Bounds().ColdFactor / j.server.nodes()
 }
--- a/serve/node.go
+++ b/serve/node.go
@@ -219,10 +219,13 @@
 	n.relay = &relay.Server{
 		Listener: callers, Names: n.Names, Domain: n.Settings.Domain, Config: n.news.Config,
 		Directory: n.news.Directory, View: n.members.View, Stages: n.batch, Client: n.Client,
-		Bounds: n.Settings.Bounds, Clock: n.Clock, Random: n.Random, Log: n.logger("relay"), Metrics: n.Metrics,
+		Bounds: n.bounds, Clock: n.Clock, Random: n.Random, Log: n.logger("relay"), Metrics: n.Metrics,
 	}
 }
 
+// bounds returns the limits that all nodes keep together.
+func (n *Node) bounds() relay.Bounds { return n.Settings.Bounds }
+
 func (n *Node) peerAddress(vm string) (string, bool) {
 	v, ok := n.members.View().Find(vm)
 	return v.Address, ok
--- a/site/config.go
+++ b/site/config.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"crypto/sha256"
+	"encoding/hex"
 	"slices"
 	"strings"
 	"time"
@@ -74,9 +76,11 @@
 
 // Account is a client account.
 type Account struct {
-	Name     string   `json:"name"`
-	Keys     []string `json:"keys"`
-	Priority *int     `json:"priority,omitempty"` // Goes before the route's if set.
+	Name string   `json:"name"`
+	Keys []string `json:"keys"`
+	// KeyHashes are further keys, as the SHA-256 of each in hexadecimal.
+	KeyHashes []string `json:"key_hashes,omitempty"`
+	Priority  *int     `json:"priority,omitempty"` // Goes before the route's if set.
 }
 
 // Limits bounds what a caller may send.
@@ -98,6 +102,7 @@
 	byHost    map[string][]Route // Longest prefix first.
 	byService map[string]Service
 	byKey     map[string]Account
+	byKeyHash map[string]Account
 }
 
 // NewConfig returns the configuration with its indexes built.
@@ -114,10 +119,14 @@
 		c.byService[s.Name] = s
 	}
 	c.byKey = make(map[string]Account)
+	c.byKeyHash = make(map[string]Account)
 	for _, a := range c.Accounts {
 		for _, k := range a.Keys {
 			c.byKey[k] = a
 		}
+		for _, h := range a.KeyHashes {
+			c.byKeyHash[h] = a
+		}
 	}
 	return c
 }
@@ -143,7 +152,11 @@
 
 // Account returns the client account that holds the key.
 func (c Config) Account(key string) (Account, bool) {
-	a, ok := c.byKey[key]
+	if a, ok := c.byKey[key]; ok || len(c.byKeyHash) == 0 {
+		return a, ok
+	}
+	sum := sha256.Sum256([]byte(key))
+	a, ok := c.byKeyHash[hex.EncodeToString(sum[:])]
 	return a, ok
 }
 
