Read the answer of a target while a long body is still sent

A target may answer before it has read a long body. The body was written first and the answer read afterwards: with 16 MB and a target that reads no further, the call ended at its deadline with an open outcome although the answer lay there. Ruled out: bytes of another request in the place of the rest of a body. The old order could not send any before the body was whole, and neither can the new.

--- a/wire/client.go
+++ b/wire/client.go
@@ -61,6 +61,7 @@
 
 	client *Client
 	conn   *Conn
+	sent   *sending
 	stop   func() bool
 	keep   bool
 	whole  bool
@@ -75,13 +76,17 @@
 		return nil, err
 	}
 	stop := context.AfterFunc(ctx, func() { Discard(conn) })
-	a, err := exchange(conn, call)
+	sent, err := send(conn, call)
+	var a *Answer
+	if err == nil {
+		a, err = await(conn, call)
+	}
 	if err != nil {
 		stop()
-		Discard(conn)
+		sent.abort()
 		return nil, lost(ctx, call.Address, err)
 	}
-	a.client, a.stop = c, stop
+	a.client, a.stop, a.sent = c, stop, sent
 	return a, nil
 }
 
@@ -130,10 +135,8 @@
 	return fault.New(fault.ConnectionLost, fault.MayHaveRun, "call to %s: %s", address, err)
 }
 
-func exchange(conn *Conn, call Call) (*Answer, error) {
-	if err := writeCall(conn, call); err != nil {
-		return nil, err
-	}
+// await reads the head of the answer that belongs to the call.
+func await(conn *Conn, call Call) (*Answer, error) {
 	for range maxStrayAnswers + 1 {
 		a, err := readAnswer(conn, call.Method)
 		if err != nil {
@@ -153,20 +156,6 @@
 	return nil, errors.New("the answers belong to other requests")
 }
 
-func writeCall(conn *Conn, call Call) error {
-	w := conn.Writer
-	_, _ = w.WriteString(call.Method + " " + call.URI + " HTTP/1.1\r\n") // Errors show up when the buffer is flushed.
-	for _, h := range call.Headers {
-		writeHeader(w, h)
-	}
-	if len(call.Body) > 0 || call.Method == "POST" || call.Method == "PUT" {
-		writeHeader(w, Header{Name: "Content-Length", Value: strconv.Itoa(len(call.Body))})
-	}
-	_, _ = w.WriteString("\r\n")
-	_, _ = w.Write(call.Body)
-	return w.Flush()
-}
-
 func writeHeader(w io.StringWriter, h Header) {
 	for _, p := range [...]string{h.Name, ": ", h.Value, "\r\n"} {
 		_, _ = w.WriteString(p) // Errors show up when the buffer is flushed.
@@ -216,16 +205,16 @@
 	return a, nil
 }
 
-// Close ends the use of an answer. The connection is kept if the whole answer
-// was read.
+// Close ends the use of an answer. The connection is kept if the request was
+// sent and the answer read whole.
 func (a *Answer) Close() {
 	if a.stop == nil {
 		return
 	}
-	intact := a.stop() && a.whole && a.keep && a.conn.Reader.Buffered() == 0
+	intact := a.stop() && a.whole && a.keep && a.conn.Reader.Buffered() == 0 && a.sent.whole()
 	a.stop = nil
 	if !intact {
-		Discard(a.conn)
+		a.sent.abort()
 		return
 	}
 	a.client.idle.Put(a.conn, a.client.Clock.Now(), a.client.idleTimeout())
