Refuse opaque requests whose content has crashed three targets

poison was asked by the pipelines only. The relay now counts the targets whose connection was lost with a request, by account, method, path and body; after three of them with no answer between, such requests are refused for 20 seconds, at every node: losses are spread as rumours, each under an identifier that two nodes agree on. Three, not two as for pipelines: suspects do not run alone here. An answer clears, so that requests of a common content are not refused for a few crashes at once. A metric tells how many losses count.

--- a/node/routes.go
+++ b/node/routes.go
@@ -52,7 +52,7 @@
 	r.server = &relay.Server{
 		Listener: listener, Names: relay.DefaultNames(), Domain: n.Settings.Domain, Config: r.currentConfig,
 		Directory: r.currentDirectory, View: n.members.View, Stages: r.batch, Client: r.client,
-		Bounds: r.bounds, Clock: n.Clock, Random: n.Random, Log: n.logger("relay"), Metrics: n.metrics,
+		Bounds: r.bounds, Spread: n.spreadLoss, Clock: n.Clock, Random: n.Random, Log: n.logger("relay"), Metrics: n.metrics,
 	}
 	n.peers.Register(batch.MethodSubmit, peer.Typed(r.batch.HandleSubmit))
 	n.peers.Register(batch.MethodRelease, peer.Typed(r.batch.HandleRelease))
--- a/poison/poison_test.go
+++ b/poison/poison_test.go
@@ -9,9 +9,13 @@
 )
 
 type tableScript struct {
-	About    string      `json:"about"`
-	Capacity int         `json:"capacity"`
-	Steps    []tableStep `json:"steps"`
+	About    string `json:"about"`
+	Capacity int    `json:"capacity"`
+	// Condemned is the number of crashes after which a request is condemned.
+	Condemned   int         `json:"condemned_after"`
+	SuspectMS   int64       `json:"suspect_ms"`
+	CondemnedMS int64       `json:"condemned_ms"`
+	Steps       []tableStep `json:"steps"`
 }
 
 // tableStep is one event on one of two nodes, or an exchange between them.
@@ -29,7 +33,7 @@
 func TestTables(t *testing.T) {
 	origin := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	script.Run(t, "testdata/*.json", func(t *testing.T, data tableScript) {
-		tables := []*poison.Table{{Capacity: data.Capacity}, {Capacity: data.Capacity}}
+		tables := []*poison.Table{data.table(), data.table()}
 		for i, s := range data.Steps {
 			now := origin.Add(time.Duration(s.AtMS) * time.Millisecond)
 			table := tables[s.Node]
@@ -49,6 +53,13 @@
 	})
 }
 
+func (d tableScript) table() *poison.Table {
+	return &poison.Table{
+		Capacity: d.Capacity, CondemnedAfter: d.Condemned,
+		SuspectFor: time.Duration(d.SuspectMS) * time.Millisecond, CondemnedFor: time.Duration(d.CondemnedMS) * time.Millisecond,
+	}
+}
+
 func exchange(now time.Time, tables []*poison.Table) {
 	for i, a := range tables {
 		for _, r := range a.Rumours(now) {
--- a/poison/table.go
+++ b/poison/table.go
@@ -1,6 +1,7 @@
 package poison
 
 import (
+	"cmp"
 	"encoding/binary"
 	"slices"
 	"time"
@@ -22,11 +23,11 @@
 )
 
 const (
-	defaultCapacity = 4096
-	suspectFor      = 10 * time.Minute
-	condemnedFor    = 30 * time.Minute
-	condemnedAfter  = 2 // Crashes after which a request is condemned.
-	maxCrashes      = 8 // Crashes remembered for one fingerprint.
+	defaultCapacity       = 4096
+	defaultSuspectFor     = 10 * time.Minute
+	defaultCondemnedFor   = 30 * time.Minute
+	defaultCondemnedAfter = 2
+	maxCrashes            = 8 // Crashes remembered for one fingerprint.
 
 	// oneCrash is the time in which failures on one target are the same crash.
 	oneCrash = 250 * time.Millisecond
@@ -37,6 +38,12 @@
 type Table struct {
 	// Capacity bounds the number of fingerprints; zero means 4096.
 	Capacity int
+	// CondemnedAfter is the number of crashes after which a request is
+	// condemned; zero means 2.
+	CondemnedAfter int
+	// SuspectFor and CondemnedFor, which is not shorter, are the times for which
+	// a standing lasts; zero means 10 and 30 minutes.
+	SuspectFor, CondemnedFor time.Duration
 
 	rumours map[uint64]Rumour
 }
@@ -48,7 +55,7 @@
 		return Clean
 	}
 	switch n := r.counted(); {
-	case n >= condemnedAfter:
+	case n >= cmp.Or(t.CondemnedAfter, defaultCondemnedAfter):
 		return Condemned
 	case n > 0:
 		return Suspect
@@ -62,7 +69,7 @@
 	crash := crashID(now, target)
 	rumours := make([]Rumour, 0, len(fingerprints))
 	for _, f := range fingerprints {
-		r := Rumour{Fingerprint: f, Crashes: []uint64{crash}, Until: now.Add(suspectFor)}
+		r := Rumour{Fingerprint: f, Crashes: []uint64{crash}, Until: now.Add(cmp.Or(t.SuspectFor, defaultSuspectFor))}
 		rumours = append(rumours, t.merge(now, r))
 	}
 	return rumours
@@ -89,6 +96,17 @@
 	return len(after.Crashes) != len(before.Crashes) || len(after.Cleared) != len(before.Cleared)
 }
 
+// Counted returns the number of crashes that count at now, over all requests.
+func (t *Table) Counted(now time.Time) int {
+	n := 0
+	for _, r := range t.rumours {
+		if !now.After(r.Until) {
+			n += r.counted()
+		}
+	}
+	return n
+}
+
 // Rumours returns all that is in force at now, sorted by fingerprint.
 func (t *Table) Rumours(now time.Time) []Rumour {
 	var all []Rumour
@@ -113,8 +131,9 @@
 		t.makeRoom(now)
 	}
 	merged := rumour.with(old)
-	if merged.counted() >= condemnedAfter && old.counted() < condemnedAfter {
-		merged.Until = now.Add(condemnedFor)
+	limit := cmp.Or(t.CondemnedAfter, defaultCondemnedAfter)
+	if merged.counted() >= limit && old.counted() < limit {
+		merged.Until = now.Add(cmp.Or(t.CondemnedFor, defaultCondemnedFor))
 	}
 	t.rumours[rumour.Fingerprint] = merged
 	return merged
--- /dev/null
+++ b/relay/crash.go
@@ -0,0 +1,107 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/sirupsen/logrus"
+
+	"bergamotworks/fault"
+	"bergamotworks/member"
+	"bergamotworks/poison"
+)
+
+const (
+	// condemnedAfter is the number of lost connections, with no answer between
+	// them, after which a request is taken to crash its targets.
+	condemnedAfter = 3
+	// standingTime is how long a request is suspected or refused. Requests with
+	// the same content may well be harmless later.
+	standingTime = 20 * time.Second
+)
+
+// Crash is the loss of a target that ran a request, as nodes tell each other.
+type Crash struct {
+	ID          uint64 // Of the loss and the request together.
+	Fingerprint uint64 // Of the request's content.
+	Until       time.Time
+}
+
+// rumorKind is the kind of rumour that tells of a target lost with a request.
+const rumorKind = "target_lost"
+
+// Rumor returns the crash as it is spread.
+func (c Crash) Rumor() member.Rumor {
+	return member.Rumor{Kind: rumorKind, Key: c.ID, Value: int64(c.Fingerprint), Until: c.Until}
+}
+
+// CrashOf returns the crash that a rumour tells of.
+func CrashOf(r member.Rumor) (Crash, bool) {
+	return Crash{ID: r.Key, Fingerprint: uint64(r.Value), Until: r.Until}, r.Kind == rumorKind
+}
+
+// fingerprint tells requests with the same content apart from others, whatever
+// identifier they carry.
+func (j *job) fingerprint() uint64 {
+	d := xxhash.New()
+	for _, part := range []string{j.service, j.account.Name, j.request.Method, j.request.URI} {
+		_, _ = d.WriteString(part + "\n") // A digest never fails.
+	}
+	_, _ = d.Write(j.request.Body)
+	return d.Sum64()
+}
+
+// condemned refuses a request whose content has crashed targets.
+func (j *job) condemned() error {
+	s := j.server
+	j.print = j.fingerprint()
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.crashes.Check(s.Clock.Now(), j.print) != poison.Condemned {
+		return nil
+	}
+	return fault.New(fault.Condemned, fault.NotRun, "requests with this content have crashed their targets")
+}
+
+// lostTarget takes in that a target's connection was lost while it ran the
+// request.
+func (j *job) lostTarget(target string) {
+	s := j.server
+	now := s.Clock.Now()
+	s.mutex.Lock()
+	told := s.crashes.Crashed(now, target, []uint64{j.print})
+	standing := s.crashes.Check(now, j.print)
+	s.mutex.Unlock()
+	s.Log.WithFields(logrus.Fields{"request": j.id, "target": target, "fingerprint": j.print, "standing": standing.String()}).Info("target lost with a request")
+	if s.Spread == nil {
+		return
+	}
+	for _, r := range told {
+		for _, c := range r.Crashes {
+			s.Spread(Crash{ID: c ^ r.Fingerprint, Fingerprint: r.Fingerprint, Until: r.Until})
+		}
+	}
+}
+
+// answered takes in that a target has answered the request.
+func (j *job) answered() {
+	s := j.server
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.crashes.Completed(s.Clock.Now(), j.print)
+}
+
+// ObserveCrash takes in what another node tells.
+func (s *Server) ObserveCrash(c Crash) {
+	s.once.Do(s.init)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.crashes.Observe(s.Clock.Now(), poison.Rumour{Fingerprint: c.Fingerprint, Crashes: []uint64{c.ID ^ c.Fingerprint}, Until: c.Until})
+}
+
+// lostWith returns the number of targets lost with requests that still count.
+func (s *Server) lostWith() float64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return float64(s.crashes.Counted(s.Clock.Now()))
+}
--- a/relay/job.go
+++ b/relay/job.go
@@ -40,7 +40,8 @@
 	results [][]string
 	// prepaid says that the next send has been taken out of the budget.
 	prepaid   bool
-	lastEvent int64 // Identifier of the last event that was passed on.
+	print     uint64 // Fingerprint of the content.
+	lastEvent int64  // Identifier of the last event that was passed on.
 
 	// What is logged of the request.
 	target   string
@@ -104,7 +105,7 @@
 	if j.service == "" {
 		return fault.New(fault.Unavailable, fault.NotRun, "route %s has no service", route.Name).WithRetryAfter(unreadyRetry)
 	}
-	return nil
+	return j.condemned()
 }
 
 func (j *job) findAccount() error {
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -168,8 +168,13 @@
 	s.mutex.Lock()
 	s.places.Ended(s.Clock.Now(), g, outcome(err))
 	s.mutex.Unlock()
-	if err != nil {
-		s.logSend(j, g, err)
+	if err == nil {
+		j.answered()
+		return nil
+	}
+	s.logSend(j, g, err)
+	if e := fault.From(err); e.Kind == fault.ConnectionLost && e.Verdict != fault.NotRun {
+		j.lostTarget(g.ID)
 	}
 	return err
 }
--- a/relay/server.go
+++ b/relay/server.go
@@ -15,6 +15,7 @@
 	"bergamotworks/batch"
 	"bergamotworks/member"
 	"bergamotworks/place"
+	"bergamotworks/poison"
 	"bergamotworks/ports"
 	"bergamotworks/retry"
 	"bergamotworks/site"
@@ -57,11 +58,14 @@
 	Random    ports.Random
 	Log       *logrus.Entry
 	Metrics   *metrics.Set
+	// Spread tells the other nodes of a lost target; may be nil.
+	Spread func(Crash)
 
 	once     sync.Once
 	own      map[string]bool // Names of fields that are not passed on, in lower case.
 	mutex    sync.Mutex
 	places   place.Table
+	crashes  poison.Table
 	budgets  map[string]*retry.Budget
 	sessions map[*session]struct{}
 	closed   bool
@@ -71,10 +75,12 @@
 }
 
 func (s *Server) init() {
+	s.crashes = poison.Table{CondemnedAfter: condemnedAfter, SuspectFor: standingTime, CondemnedFor: standingTime}
 	s.budgets = make(map[string]*retry.Budget)
 	s.sessions = make(map[*session]struct{})
 	s.own = ownFields(s.Names)
 	s.counters.create(s.Metrics)
+	s.Metrics.NewGauge("relay_targets_lost_with_requests", s.lostWith)
 }
 
 // Run accepts connections until the context ends or the server is closed.
--- a/serve/node.go
+++ b/serve/node.go
@@ -203,7 +203,7 @@
 			Domain: n.Settings.Domain, Region: n.Settings.Region,
 		},
 		Seeds: n.Seeds, Network: n.Network, Clock: n.Clock, Random: n.Random,
-		Log: n.logger("member"), Metrics: n.Metrics,
+		Log: n.logger("member"), Metrics: n.Metrics, Rumors: n.receiveRumor,
 	}
 	n.news = &news.Service{
 		Self: n.Settings.VM, Source: n.Source, Peers: n.peers, View: n.members.View, Clock: n.Clock, Random: n.Random,
@@ -220,6 +220,15 @@
 		Listener: callers, Names: n.Names, Domain: n.Settings.Domain, Config: n.news.Config,
 		Directory: n.news.Directory, View: n.members.View, Stages: n.batch, Client: n.Client,
 		Bounds: n.bounds, Clock: n.Clock, Random: n.Random, Log: n.logger("relay"), Metrics: n.Metrics,
+		Spread: n.spreadCrash,
+	}
+}
+
+func (n *Node) spreadCrash(c relay.Crash) { n.members.Broadcast(c.Rumor()) }
+
+func (n *Node) receiveRumor(r member.Rumor) {
+	if c, ok := relay.CrashOf(r); ok {
+		n.relay.ObserveCrash(c)
 	}
 }
 
