--- a/cmds/relay.go
+++ b/cmds/relay.go
@@ -5,9 +5,7 @@
 	"errors"
 	"flag"
 	"net/netip"
-	"os"
-	"os/signal"
-	"syscall"
+	"slices"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -28,6 +26,7 @@
 	node  serve.Settings
 	seeds string
 	store string
+	path  string // Of the file with settings; may be empty.
 }
 
 const (
@@ -58,7 +57,7 @@
 	flags.Float64Var(&n.Bounds.RetrySlack, "retry-slack", defaultRetrySlack, "repeated requests to a service beyond the share, over all nodes")
 	flags.DurationVar(&n.Bounds.RetryWindow, "retry-window", defaultRetryWindow, "time over which repeated requests are counted")
 	flags.Float64Var(&n.Bounds.ColdFactor, "cold-factor", defaultColdFactor, "how many times its stated rate a cold target bears, over all nodes")
-	flags.String(settingsFlag, "", "file with settings, one a line: name and value")
+	flags.StringVar(&v.path, settingsFlag, "", "file with settings, one a line: name and value")
 }
 
 // check returns the first setting that is missing or wrong.
@@ -101,16 +100,28 @@
 			lines.Start()
 			log.SetOutput(lines)
 			tuneMemory()
-			return errors.Join(relay(ctx, v, log, set), lines.Close())
+			return errors.Join(relay(ctx, v, s.relayArguments(), log, set), lines.Close())
 		},
 	})
-	c.Options = append(c.Options,
-		ff.WithConfigFileFlag(settingsFlag), ff.WithConfigFileParser(ff.PlainParser), ff.WithIgnoreUndefined(true))
+	c.Options = append(c.Options, fileOptions()...)
 	return c
 }
 
+// fileOptions returns how the file with settings is read.
+func fileOptions() []ff.Option {
+	return []ff.Option{ff.WithConfigFileFlag(settingsFlag), ff.WithConfigFileParser(ff.PlainParser), ff.WithIgnoreUndefined(true)}
+}
+
+// relayArguments returns the arguments of the relay command.
+func (s *shell) relayArguments() []string {
+	if i := slices.Index(s.args, "relay"); i >= 0 {
+		return s.args[i+1:]
+	}
+	return nil
+}
+
 // relay runs a node until the context ends, then stops it in order.
-func relay(ctx context.Context, v relaySettings, log *logrus.Logger, set *metrics.Set) error {
+func relay(ctx context.Context, v relaySettings, args []string, log *logrus.Logger, set *metrics.Set) error {
 	entry := logrus.NewEntry(log)
 	dialed := set.NewCounter("wire_connections_total")
 	client := &wire.Client{Network: ports.SystemNetwork{}, Clock: ports.SystemClock{}, Dialed: dialed.Inc}
@@ -127,6 +138,7 @@
 		Log: entry, Metrics: set,
 	}
 	r := &relayRun{node: n, seeds: seeds, done: make(chan error, 2)}
+	r.reload = reloader{args: args, path: v.path, apply: r.apply, clock: ports.SystemClock{}, log: entry.WithField("part", "settings")}
 	r.start()
 	defer r.stop()
 	select {
@@ -142,25 +154,30 @@
 	node   *serve.Node
 	seeds  *platform.Seeds
 	done   chan error
-	hangup chan os.Signal
+	reload reloader
 	cancel context.CancelFunc
 }
 
 func (r *relayRun) start() {
 	var ctx context.Context
 	ctx, r.cancel = context.WithCancel(context.Background())
-	r.hangup = make(chan os.Signal, 1)
-	signal.Notify(r.hangup, syscall.SIGHUP)
+	r.reload.listen()
 	go r.run()
 	go r.loopSeeds(ctx)
-	go r.loopHangup(ctx)
+	go r.reload.loop(ctx)
 }
 
 func (r *relayRun) stop() {
-	signal.Stop(r.hangup)
+	r.reload.close()
 	r.cancel()
 }
 
+// apply takes over settings that were read again.
+func (r *relayRun) apply(v relaySettings) {
+	r.seeds.SetGiven(splitList(v.seeds))
+	r.node.Reload(v.node)
+}
+
 // run reports the end of the node.
 func (r *relayRun) run() { r.done <- r.node.Run(context.Background()) }
 
@@ -169,16 +186,3 @@
 		r.node.Log.WithField("error", err.Error()).Warn("registration ended")
 	}
 }
-
-// loopHangup keeps SIGHUP from ending the process. Settings are read at the
-// start; what changes while a node runs comes from the store.
-func (r *relayRun) loopHangup(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-r.hangup:
-			r.node.Log.Info("reload asked for: settings are those of the start")
-		}
-	}
-}
--- a/cmds/root.go
+++ b/cmds/root.go
@@ -31,6 +31,7 @@
 
 // shell is what every command needs.
 type shell struct {
+	args      []string // Of the whole command line.
 	stdout    io.Writer
 	stderr    io.Writer
 	logLevel  string
@@ -55,7 +56,7 @@
 func Main(args []string, stdout, stderr io.Writer) int {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	s := &shell{stdout: stdout, stderr: stderr}
+	s := &shell{args: args, stdout: stdout, stderr: stderr}
 	root := s.root()
 	err := root.ParseAndRun(ctx, args)
 	return s.status(err)
@@ -131,12 +132,17 @@
 		c.FlagSet = flag.NewFlagSet(c.Name, flag.ContinueOnError)
 	}
 	c.FlagSet.SetOutput(s.stderr)
-	c.FlagSet.StringVar(&s.logLevel, "log-level", defaultLogLevel, "log level: debug, info, warn or error")
-	c.FlagSet.StringVar(&s.logFormat, "log-format", "text", "log format: text or json")
+	s.logFlags(c.FlagSet)
 	c.Options = append(c.Options, ff.WithEnvVarPrefix(environmentPrefix))
 	return c
 }
 
+// logFlags adds the settings of the logs.
+func (s *shell) logFlags(flags *flag.FlagSet) {
+	flags.StringVar(&s.logLevel, "log-level", defaultLogLevel, "log level: debug, info, warn or error")
+	flags.StringVar(&s.logFormat, "log-format", "text", "log format: text or json")
+}
+
 // logger returns the logger that the settings describe.
 func (s *shell) logger() (*logrus.Logger, error) {
 	level, err := logrus.ParseLevel(s.logLevel)
--- a/serve/node.go
+++ b/serve/node.go
@@ -57,6 +57,7 @@
 	once     sync.Once
 	built    error
 	stopping atomic.Bool
+	reloaded atomic.Pointer[Settings] // Nil before the first reload.
 	context  context.Context
 	end      context.CancelFunc
 }
@@ -98,12 +99,32 @@
 		n.Log.WithField("error", err.Error()).Warn("leaving not announced")
 	}
 	n.batch.Leave()
-	n.sleep(ctx, n.Settings.BalancerWait)
+	n.sleep(ctx, n.current().BalancerWait)
 	n.relay.Drain()
-	n.finish(ctx, begun.Add(n.Settings.StopTime-endReserve))
+	n.finish(ctx, begun.Add(n.current().StopTime-endReserve))
 	return n.close()
 }
 
+// Reload takes over the settings that may change while the node runs, and logs
+// the others that differ.
+func (n *Node) Reload(settings Settings) {
+	next, fixed := n.current().WithReloaded(settings)
+	n.reloaded.Store(&next)
+	n.Log.WithFields(logrus.Fields{
+		"stop_time": next.StopTime.String(), "balancer_wait": next.BalancerWait.String(), "retry_share": next.Bounds.RetryShare,
+		"retry_slack": next.Bounds.RetrySlack, "retry_window": next.Bounds.RetryWindow.String(), "cold_factor": next.Bounds.ColdFactor,
+		"only_at_start": fixed,
+	}).Info("settings read again")
+}
+
+// current returns the settings in use.
+func (n *Node) current() Settings {
+	if s := n.reloaded.Load(); s != nil {
+		return *s
+	}
+	return n.Settings
+}
+
 // finish waits until no request is under way.
 func (n *Node) finish(ctx context.Context, until time.Time) {
 	for n.Clock.Now().Before(until) && ctx.Err() == nil {
@@ -233,7 +254,7 @@
 }
 
 // bounds returns the limits that all nodes keep together.
-func (n *Node) bounds() relay.Bounds { return n.Settings.Bounds }
+func (n *Node) bounds() relay.Bounds { return n.current().Bounds }
 
 func (n *Node) peerAddress(vm string) (string, bool) {
 	v, ok := n.members.View().Find(vm)
--- a/serve/settings.go
+++ b/serve/settings.go
@@ -25,6 +25,25 @@
 	Bounds       relay.Bounds
 }
 
+// WithReloaded returns the settings with those of others that may change while
+// a node runs, and the names of the ones that differ beside them.
+func (s Settings) WithReloaded(other Settings) (settings Settings, fixed []string) {
+	settings = s
+	settings.StopTime, settings.BalancerWait, settings.Bounds = other.StopTime, other.BalancerWait, other.Bounds
+	pairs := []struct{ field, before, after string }{
+		{"vm", s.VM, other.VM}, {"domain", s.Domain, other.Domain}, {"region", s.Region, other.Region},
+		{"listen", s.Listen, other.Listen}, {"ready_listen", s.Ready, other.Ready},
+		{"metrics_listen", s.MetricsListen, other.MetricsListen}, {"peer_listen", s.Peer, other.Peer},
+		{"gossip_listen", s.Gossip, other.Gossip},
+	}
+	for _, p := range pairs {
+		if p.before != p.after {
+			fixed = append(fixed, p.field)
+		}
+	}
+	return settings, fixed
+}
+
 // Check reports the first setting that is missing or wrong.
 func (s Settings) Check() error {
 	if s.VM == "" {
