Compare the targets of a service, not the revision of their directory

The owner of a stage service learned at 30.338 s that a target had left ('targets changed', revision 72) and sent it pieces until 31.5 s. While a failure domain is out, a directory bears the higher one of the revisions of its targets and of its departures; a change under a revision that the departures had reached already did not arrive in the table of pieces. Mended: targets are compared themselves, and limits follow the configuration at once; they had waited for a change of the directory.

--- a/batch/service.go
+++ b/batch/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -61,10 +62,11 @@
 
 // gathered is the table of one service with those who wait for its groups.
 type gathered struct {
-	name     string
-	table    Table
-	revision int64
-	waiters  map[uint64]chan Done
+	name    string
+	table   Table
+	known   bool          // The table has been given targets.
+	targets []site.Target // As the table was last given.
+	waiters map[uint64]chan Done
 }
 
 // submission is [Work] as it travels between nodes; clocks differ, so times
@@ -201,15 +203,15 @@
 
 // refresh brings the targets and limits up to date.
 func (s *Service) refresh(g *gathered) {
-	d := s.Directory()
-	if d.Revision == g.revision {
-		return
-	}
-	g.revision = d.Revision
 	if service, ok := s.Config().Service(g.name); ok && service.Batch != nil {
 		g.table.Limits = *service.Batch
 	}
-	g.table.SetTargets(s.Clock.Now(), d.Usable(g.name))
+	usable := s.Directory().Usable(g.name)
+	if g.known && slices.Equal(usable, g.targets) {
+		return
+	}
+	g.known, g.targets = true, usable
+	g.table.SetTargets(s.Clock.Now(), usable)
 }
 
 func (s *Service) cancel(g *gathered, id uint64) {
--- /dev/null
+++ b/batch/service_test.go
@@ -0,0 +1,140 @@
+package batch
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/google/go-cmp/cmp"
+	"github.com/sirupsen/logrus"
+
+	"bergamotworks/member"
+	"bergamotworks/ports"
+	"bergamotworks/script"
+	"bergamotworks/site"
+)
+
+// serviceCase submits work while the directory and the configuration change.
+type serviceCase struct {
+	Steps []serviceStep `json:"steps"`
+}
+
+type serviceStep struct {
+	Revision int64    `json:"revision"` // Of the directory.
+	Targets  []string `json:"targets"`
+	Out      []string `json:"out"`    // Failure domains that are taken out; each target has its own.
+	Pieces   int      `json:"pieces"` // Zero means one.
+	Size     int      `json:"size"`   // Pieces in a call; zero means 8.
+	Want     string   `json:"want"`   // The target that is called.
+	Calls    int      `json:"calls"`  // Zero means one.
+}
+
+func TestService(t *testing.T) {
+	script.Run(t, "testdata/service/*.json", func(t *testing.T, data map[string]serviceCase) {
+		for name, c := range data {
+			t.Run(name, func(t *testing.T) { testService(t, c) })
+		}
+	})
+}
+
+func testService(t *testing.T, c serviceCase) {
+	w := &serviceWorld{}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	s := &Service{
+		Self: "vm", Config: w.currentConfig, Directory: w.currentDirectory, View: func() member.View { return member.View{} },
+		Runner: w, Clock: ports.SystemClock{}, Log: logrus.NewEntry(log), Metrics: metrics.NewSet(),
+	}
+	defer func() { _ = s.Close() }() // It reports nothing.
+	for i, e := range c.Steps {
+		w.set(e)
+		now := time.Now()
+		work := Work{Service: "svc", Request: fmt.Sprint("r", i), Pieces: max(1, e.Pieces), Target: now.Add(time.Minute), Deadline: now.Add(time.Minute)}
+		made, err := s.Do(t.Context(), work)
+		if err != nil {
+			t.Fatalf("step %d: %v", i, err)
+		}
+		var want []string
+		for range max(1, e.Calls) {
+			want = append(want, e.Want)
+		}
+		if diff := cmp.Diff(want, w.taken()); diff != "" {
+			t.Errorf("step %d: targets called (-want +got):\n%s", i, diff)
+		}
+		s.Release("svc", made)
+	}
+}
+
+// serviceWorld is the configuration, the directory and the targets.
+type serviceWorld struct {
+	mutex     sync.Mutex
+	config    site.Config
+	directory site.Directory
+	calls     []string
+	made      int
+}
+
+func (w *serviceWorld) set(e serviceStep) {
+	d := site.Directory{Revision: e.Revision}
+	for _, id := range e.Targets {
+		d.Targets = append(d.Targets, site.Target{ID: id, Service: "svc", Address: "address-" + id, Domain: "domain-" + id})
+	}
+	departed := make([]string, 0, len(e.Out))
+	for _, o := range e.Out {
+		departed = append(departed, "domain-"+o)
+	}
+	size := e.Size
+	if size == 0 {
+		size = 8
+	}
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.directory = site.NewDirectory(d).WithDeparted(departed, e.Revision)
+	w.config = site.NewConfig(site.Config{Services: []site.Service{{
+		Name: "svc", Batch: &site.Batch{Slots: 1, Size: size, CallTime: time.Millisecond, RoomBytes: 1 << 20, Retention: time.Minute},
+	}}})
+}
+
+func (w *serviceWorld) currentConfig() site.Config {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.config
+}
+
+func (w *serviceWorld) currentDirectory() site.Directory {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.directory
+}
+
+// taken returns the targets called since the last time.
+func (w *serviceWorld) taken() []string {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	calls := w.calls
+	w.calls = nil
+	return calls
+}
+
+// Run makes a result for each piece.
+func (w *serviceWorld) Run(_ context.Context, target site.Target, pieces []Piece) ([]Result, error) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.calls = append(w.calls, target.ID)
+	results := make([]Result, len(pieces))
+	for i := range results {
+		w.made++
+		results[i] = Result{Handle: fmt.Sprintf("%s/%d", target.Address, w.made)}
+	}
+	return results, nil
+}
+
+// Free takes results back.
+func (w *serviceWorld) Free(context.Context, site.Target, []string) error { return nil }
+
+// Room returns memory for many results.
+func (w *serviceWorld) Room(context.Context, site.Target) (int64, error) { return 1 << 20, nil }
