--- a/news/service.go
+++ b/news/service.go
@@ -162,12 +162,31 @@
 			wait = failedInterval
 			s.ask(ctx)
 		}
-		if !s.pause(ctx, wait) {
+		if !s.rest(ctx, wait) {
 			return nil
 		}
 	}
 }
 
+// rest waits for the next reading and drops entries meanwhile that are kept no
+// longer.
+func (s *Service) rest(ctx context.Context, wait time.Duration) bool {
+	s.mutex.Lock()
+	kept := s.state.KeptFor(s.Clock.Now())
+	s.mutex.Unlock()
+	if kept > 0 && kept < wait {
+		if !s.pause(ctx, kept) {
+			return false
+		}
+		wait -= kept
+	}
+	s.mutex.Lock()
+	change := s.state.Expire(s.Clock.Now())
+	s.mutex.Unlock()
+	s.changed(change, "time")
+	return s.pause(ctx, wait)
+}
+
 func (s *Service) readDirectory(ctx context.Context) error {
 	calling, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
--- a/news/state.go
+++ b/news/state.go
@@ -90,6 +90,28 @@
 	return c
 }
 
+// KeptFor returns how long entries that have lapsed are still kept.
+func (s *State) KeptFor(now time.Time) time.Duration {
+	if s.keepUntil.IsZero() {
+		return 0
+	}
+	return max(0, s.keepUntil.Sub(now))
+}
+
+// Expire drops entries that have lapsed if they were kept for long enough.
+func (s *State) Expire(now time.Time) Change {
+	var c Change
+	if s.keepUntil.IsZero() || now.Before(s.keepUntil) {
+		return c
+	}
+	s.keepUntil = time.Time{}
+	c.Directory = true
+	before := s.directory
+	s.combine(now)
+	c.compare(before, s.directory)
+	return c
+}
+
 // compare finds out what differs between two directories.
 func (c *Change) compare(before, after site.Directory) {
 	c.Departures = !maps.Equal(before.Departed, after.Departed)
--- a/node/routes.go
+++ b/node/routes.go
@@ -50,7 +50,7 @@
 		Runner: &engine.Pieces{Client: r.client}, Peers: n.peers, Clock: n.Clock, Log: n.logger("batch"), Metrics: n.metrics,
 	}
 	r.server = &relay.Server{
-		Listener: listener, Names: relay.DefaultNames(), Domain: n.Settings.Domain, Config: r.currentConfig,
+		Listener: listener, Self: n.Settings.VM, Names: relay.DefaultNames(), Domain: n.Settings.Domain, Config: r.currentConfig,
 		Directory: r.currentDirectory, View: n.members.View, Stages: r.batch, Client: r.client,
 		Bounds: r.bounds, Spread: n.spreadLoss, Clock: n.Clock, Random: n.Random, Log: n.logger("relay"), Metrics: n.metrics,
 	}
--- a/place/choose.go
+++ b/place/choose.go
@@ -18,6 +18,9 @@
 	// have, beyond spareLoad calls.
 	imbalance = 1.5
 	spareLoad = 6.0
+	// turnShare is the part of a rate below one request per second that is used,
+	// since nodes hear of a cold target up to a second apart.
+	turnShare = 0.75
 )
 
 // Need describes a request that looks for a target.
@@ -26,7 +29,11 @@
 	Affinity uint64        // Hash of what the request shares with others; zero if nothing.
 	Domain   string        // Failure domain of this node.
 	Tried    []string      // Targets that had this request.
-	ColdRate float64       // Requests per second that this node may send to a cold target.
+	// ColdRate is the number of requests per second that this node may send to
+	// a cold target, and ColdPhase its place among the nodes, from 0 to 1, by which
+	// rates below one request per second are spread.
+	ColdRate  float64
+	ColdPhase float64
 }
 
 // Choose returns the target for a request, or false if none takes it now.
@@ -56,7 +63,7 @@
 	var open []site.Target
 	for _, g := range n.Targets {
 		k := t.state(g)
-		if slices.Contains(n.Tried, g.ID) || now.Before(g.ColdUntil) && !k.bears(now, n.ColdRate) {
+		if slices.Contains(n.Tried, g.ID) || now.Before(g.ColdUntil) && !k.bears(now, n) {
 			continue
 		}
 		if choosy && (now.Before(k.restUntil) || t.failing(g, n.Targets) && now.Sub(k.probed) < probeEvery) {
@@ -67,9 +74,22 @@
 	return open
 }
 
-// bears reports whether a cold target may have one more request.
-func (k *state) bears(now time.Time, rate float64) bool {
-	return float64(len(k.recent(now))+1) <= max(rate, 1)
+// bears reports whether a cold target may have one more request. It answers for
+// a target that many nodes find at once: below one request per second each waits
+// for its turn first.
+func (k *state) bears(now time.Time, n Need) bool {
+	if n.ColdRate >= 1 {
+		return float64(len(k.recent(now))+1) <= n.ColdRate
+	}
+	if n.ColdRate <= 0 {
+		return false
+	}
+	if k.coldFrom.IsZero() {
+		k.coldFrom = now
+	}
+	spacing := time.Duration(float64(coldWindow) / (turnShare * n.ColdRate))
+	turn := k.coldFrom.Add(time.Duration(n.ColdPhase * float64(spacing)))
+	return !now.Before(turn) && now.Sub(k.lastSent) >= spacing
 }
 
 // failing reports whether a target fails far more often than the others.
--- a/place/table.go
+++ b/place/table.go
@@ -43,6 +43,8 @@
 	restUntil   time.Time
 	probed      time.Time
 	sent        []time.Time // Recent requests, while it is cold.
+	lastSent    time.Time   // The last of them.
+	coldFrom    time.Time   // Time at which it was first found cold.
 }
 
 // health is a moving share of failures.
@@ -99,7 +101,7 @@
 	k := t.state(g)
 	k.inFlight++
 	if now.Before(g.ColdUntil) {
-		k.sent = append(k.recent(now), now)
+		k.sent, k.lastSent = append(k.recent(now), now), now
 	}
 }
 
--- a/place/table_test.go
+++ b/place/table_test.go
@@ -24,16 +24,17 @@
 
 // placeStep chooses targets and begins a call at each, or ends calls.
 type placeStep struct {
-	AtMS     int64             `json:"at_ms"`
-	Choose   int               `json:"choose"` // Number of choices.
-	Affinity uint64            `json:"affinity"`
-	Tried    []string          `json:"tried"`
-	ColdRate float64           `json:"cold_rate"`
-	ColdMS   map[string]int64  `json:"cold_ms"`  // Time up to which targets are cold.
-	Ended    map[string]string `json:"ended"`    // Outcome of one call at each target.
-	Told     map[string]int    `json:"told"`     // Requests that run at a target, as it tells.
-	Want     []string          `json:"want"`     // Targets chosen, sorted; "none" if there is none.
-	WantAny  int               `json:"want_any"` // Number of different targets chosen, if set.
+	AtMS      int64             `json:"at_ms"`
+	Choose    int               `json:"choose"` // Number of choices.
+	Affinity  uint64            `json:"affinity"`
+	Tried     []string          `json:"tried"`
+	ColdRate  float64           `json:"cold_rate"`
+	ColdPhase float64           `json:"cold_phase"`
+	ColdMS    map[string]int64  `json:"cold_ms"`  // Time up to which targets are cold.
+	Ended     map[string]string `json:"ended"`    // Outcome of one call at each target.
+	Told      map[string]int    `json:"told"`     // Requests that run at a target, as it tells.
+	Want      []string          `json:"want"`     // Targets chosen, sorted; "none" if there is none.
+	WantAny   int               `json:"want_any"` // Number of different targets chosen, if set.
 }
 
 var outcomes = map[string]place.Outcome{
@@ -77,7 +78,7 @@
 func choose(table *place.Table, now time.Time, targets []site.Target, s placeStep) []string {
 	var chosen []string
 	for range s.Choose {
-		need := place.Need{Targets: targets, Affinity: s.Affinity, Domain: "x", Tried: s.Tried, ColdRate: s.ColdRate}
+		need := place.Need{Targets: targets, Affinity: s.Affinity, Domain: "x", Tried: s.Tried, ColdRate: s.ColdRate, ColdPhase: s.ColdPhase}
 		g, ok := table.Choose(now, need)
 		if !ok {
 			chosen = append(chosen, "none")
--- a/relay/budget.go
+++ b/relay/budget.go
@@ -26,9 +26,13 @@
 	shareUsed  = 0.75 // Of the share of requests.
 	slackSaved = 0.6  // Of the slack, for retries that come at once.
 	slackDrawn = 0.3  // Of the slack, spread over a window.
+	// slackStart is the part for a node that starts. Nodes that start again do not
+	// know what they have spent; all of them may do so twice in a window.
+	slackStart = 0.05
 )
 
-// budget returns this node's share of the retries for a service.
+// budget returns this node's share of the retries for a service. The bound holds
+// for a slack of two or more a node; a node may always save up one retry.
 func (s *Server) budget(service string) *retry.Budget {
 	b := s.budgets[service]
 	if b == nil {
@@ -39,6 +43,7 @@
 	slack := bounds.RetrySlack / s.nodes()
 	b.Share = bounds.RetryShare * shareUsed
 	b.Largest = max(1, slack*slackSaved)
+	b.Start = slack * slackStart
 	b.Floor = slack * slackDrawn / bounds.RetryWindow.Seconds()
 	return b
 }
--- a/relay/server.go
+++ b/relay/server.go
@@ -47,6 +47,7 @@
 type Server struct {
 	Listener  net.Listener
 	Names     Names
+	Self      string // Identifier of this VM.
 	Domain    string // Failure domain of this VM.
 	Config    func() site.Config
 	Directory func() site.Directory
@@ -134,6 +135,24 @@
 // doubt.
 const doubtNodes = 16
 
+// phase returns the place of this node among those that may be live, from 0 to 1.
+func (s *Server) phase() float64 {
+	before, n := 0, 0
+	for _, m := range s.View().Members() {
+		if m.State == member.Left {
+			continue
+		}
+		if m.ID < s.Self {
+			before++
+		}
+		n++
+	}
+	if n == 0 {
+		return 0
+	}
+	return float64(before) / float64(n)
+}
+
 // nodes returns the number of nodes that may share a bound with this one. Nodes
 // that are dead count: they may be cut off and go on.
 func (s *Server) nodes() float64 {
--- a/relay/stages.go
+++ b/relay/stages.go
@@ -267,7 +267,7 @@
 func (j *job) need(tried []string) place.Need {
 	s := j.server
 	n := place.Need{
-		Targets: s.Directory().Usable(j.service), Domain: s.Domain, Tried: tried, ColdRate: j.coldRate(),
+		Targets: s.Directory().Usable(j.service), Domain: s.Domain, Tried: tried, ColdRate: j.coldRate(), ColdPhase: s.phase(),
 	}
 	if j.route.Affinity {
 		n.Affinity = affinity(j.request.Headers.Get(s.Names.Parts))
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -18,9 +18,11 @@
 	// Floor is the number of retries per second allowed without any first
 	// attempt; zero means 0.5.
 	Floor float64
-	// Largest is the number of retries that may be saved up, and of those allowed
-	// at the start; zero means 10, and 1 at the start.
+	// Largest is the number of retries that may be saved up; zero means 10.
 	Largest float64
+	// Start is the number of retries allowed at the start; zero means Largest,
+	// and 1 if that is not set.
+	Start float64
 
 	tokens  float64
 	updated time.Time
@@ -44,7 +46,7 @@
 
 func (b *Budget) settle(now time.Time) {
 	if b.updated.IsZero() {
-		b.tokens = max(1, b.Largest)
+		b.tokens = cmp.Or(b.Start, max(1, b.Largest))
 	} else {
 		b.tokens = min(b.largest(), b.tokens+b.floor()*max(0, now.Sub(b.updated).Seconds()))
 	}
--- a/serve/node.go
+++ b/serve/node.go
@@ -238,7 +238,7 @@
 		Runner: n.Runner, Peers: n.peers, Clock: n.Clock, Log: n.logger("batch"), Metrics: n.Metrics,
 	}
 	n.relay = &relay.Server{
-		Listener: callers, Names: n.Names, Domain: n.Settings.Domain, Config: n.news.Config,
+		Listener: callers, Self: n.Settings.VM, Names: n.Names, Domain: n.Settings.Domain, Config: n.news.Config,
 		Directory: n.news.Directory, View: n.members.View, Stages: n.batch, Client: n.Client,
 		Bounds: n.bounds, Clock: n.Clock, Random: n.Random, Log: n.logger("relay"), Metrics: n.Metrics,
 		Spread: n.spreadCrash,
