Choose owners among the large VMs

The owners of stage services were VMs with 0.192 of a core, whose answers came so late that others took them for dead: three owners in turn for one service, 2,856 times 'pieces go to the owner again', calls of 530 ms that take 220. Ruled out: too few stage targets (calls of 5 to 9 of 14 pieces while they were busy), the table of pieces (the same on the sites with equal VMs). VMs now tell their processing power, and only those with three quarters of the largest live one own keys. Where the power is not known or equal nothing changes. Test: 8 VMs of three sizes, the largest die; every view agrees.

--- a/cmds/relay.go
+++ b/cmds/relay.go
@@ -44,6 +44,8 @@
 	flags.StringVar(&n.VM, "vm", "", "identifier of this VM, unique in the fleet (required)")
 	flags.StringVar(&n.Domain, "domain", "", "failure domain of this VM (required)")
 	flags.StringVar(&n.Region, "region", "default", "region of this VM")
+	flags.Float64Var(&n.CPUShare, "cpu-share", 0, "part of a core that this VM has; zero if not known")
+	flags.Float64Var(&n.CPUSpeed, "cpu-speed", 1, "speed of the core as a multiple of others'")
 	flags.StringVar(&n.Listen, "listen", "127.0.0.1:8080", "callers' address, IP:port")
 	flags.StringVar(&n.Ready, "ready-listen", "127.0.0.1:8081", "balancers' address, IP:port")
 	flags.StringVar(&n.MetricsListen, "metrics-listen", "", "address of the metrics, IP:port; empty for none")
--- a/member/contact.go
+++ b/member/contact.go
@@ -145,6 +145,7 @@
 		Ready:       e.Attributes.Ready,
 		Turn:        e.turn,
 		Details:     e.details(),
+		Millicores:  e.Millicores,
 	}
 }
 
--- a/member/merge.go
+++ b/member/merge.go
@@ -128,7 +128,7 @@
 		e.turn = d.Turn
 		e.Attributes.Ready = d.Ready
 	}
-	e.withDetails(d.Details)
+	e.withDetails(d)
 	t.moved(e, before)
 	if from != synced || before.State.Live() != e.State.Live() {
 		t.spread(d)
@@ -147,14 +147,15 @@
 	return order > 0
 }
 
-func (e *entry) withDetails(d *details) {
-	if d == nil {
+func (e *entry) withDetails(d delta) {
+	if d.Details == nil {
 		return
 	}
-	e.Address = d.Address
-	e.Gossip = d.Gossip
-	e.Domain = d.Domain
-	e.Region = d.Region
+	e.Address = d.Details.Address
+	e.Gossip = d.Details.Gossip
+	e.Domain = d.Details.Domain
+	e.Region = d.Details.Region
+	e.Millicores = d.Millicores
 }
 
 // admit adds a VM that was not known. A VM read from another table is no news:
@@ -165,7 +166,7 @@
 	}
 	e := &entry{VM: VM{ID: d.ID, Incarnation: d.Incarnation, State: d.State}, turn: d.Turn}
 	e.Attributes.Ready = d.Ready
-	e.withDetails(d.Details)
+	e.withDetails(d)
 	t.members[d.ID] = e
 	at, _ := slices.BinarySearchFunc(t.sorted, e, compareEntries)
 	t.sorted = slices.Insert(t.sorted, at, e)
--- a/member/message.go
+++ b/member/message.go
@@ -47,6 +47,7 @@
 	Ready       bool     `cbor:"4,keyasint,omitempty"`
 	Turn        uint32   `cbor:"5,keyasint,omitempty"` // Counts the changes of Ready.
 	Details     *details `cbor:"6,keyasint,omitempty"`
+	Millicores  int      `cbor:"7,keyasint,omitempty"` // Sent with the details.
 }
 
 type details struct {
@@ -67,7 +68,7 @@
 
 // size bounds the encoded length of the delta in bytes.
 func (d delta) size() int {
-	size := len(d.ID) + 24
+	size := len(d.ID) + 30
 	if d.Details != nil {
 		size += len(d.Details.Address) + len(d.Details.Gossip) + len(d.Details.Domain) + len(d.Details.Region) + 8
 	}
--- a/member/owner.go
+++ b/member/owner.go
@@ -14,10 +14,15 @@
 	regions []string
 }
 
+// ownerSize is the part of the largest VM's processing power that an owner has at
+// least. Owners do the work of many VMs.
+const ownerSize = 0.75
+
 func newOwners(members []VM) owners {
 	var o owners
+	least := ownerSize * float64(largest(members))
 	for i, m := range members {
-		if m.State.Live() && m.Attributes.Ready {
+		if m.owns() && float64(m.Millicores) >= least {
 			o.hashes = append(o.hashes, xxhash.Sum64String(m.ID))
 			o.indexes = append(o.indexes, i)
 			o.regions = append(o.regions, m.Region)
@@ -26,6 +31,20 @@
 	return o
 }
 
+// owns reports whether the VM may own keys.
+func (v VM) owns() bool { return v.State.Live() && v.Attributes.Ready }
+
+// largest returns the processing power of the largest VM that may own keys.
+func largest(members []VM) int {
+	most := 0
+	for _, m := range members {
+		if m.owns() {
+			most = max(most, m.Millicores)
+		}
+	}
+	return most
+}
+
 // first returns the place of the VM with the highest score, or -1. An empty
 // region means all regions.
 func (o owners) first(key uint64, region string) int {
--- a/member/table.go
+++ b/member/table.go
@@ -158,6 +158,7 @@
 		Ready:       t.Self.Attributes.Ready,
 		Turn:        t.turn,
 		Details:     t.Self.details(),
+		Millicores:  t.Self.Millicores,
 	}
 }
 
--- a/member/table_test.go
+++ b/member/table_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -190,3 +191,38 @@
 		}
 	}
 }
+
+// TestOwnerIsLarge has VMs of unequal sizes choose owners, the largest of which
+// then go.
+func TestOwnerIsLarge(t *testing.T) {
+	f := newFleet(8, 1, 1)
+	for i, name := range f.names {
+		f.nodes[name].table.Self.Millicores = []int{192, 400, 800}[min(2, i/3)]
+		f.start(f.nodes[name])
+	}
+	f.run(f.now.Add(5 * time.Second))
+	f.expectOwners(t, "vm-006", "vm-007")
+	f.find("vm-006").up = false
+	f.find("vm-007").up = false
+	f.run(f.now.Add(5 * time.Second))
+	f.expectOwners(t, "vm-003", "vm-004", "vm-005")
+}
+
+// expectOwners checks that exactly the given VMs own keys, in every view.
+func (f *fleet) expectOwners(t *testing.T, want ...string) {
+	t.Helper()
+	for _, n := range f.nodes {
+		if !n.up {
+			continue
+		}
+		var got []string
+		for i := range 100 {
+			vm, _ := n.view.Owner(strconv.Itoa(i))
+			got = append(got, vm.ID)
+		}
+		slices.Sort(got)
+		if diff := cmp.Diff(want, slices.Compact(got)); diff != "" {
+			t.Errorf("owners in the view of %s (-want +got):\n%s", n.id, diff)
+		}
+	}
+}
--- a/member/view.go
+++ b/member/view.go
@@ -53,7 +53,7 @@
 }
 
 // Owner returns the VM that owns the key, by rendezvous hashing over the live
-// and ready VMs. It returns false if there is none.
+// and ready VMs that are not much smaller than the largest of them. It returns false if there is none.
 func (v View) Owner(key string) (VM, bool) {
 	return v.at(v.owners.first(xxhash.Sum64String(key), ""))
 }
--- a/member/vm.go
+++ b/member/vm.go
@@ -28,11 +28,14 @@
 
 // VM is a machine on which one process of the system runs.
 type VM struct {
-	ID          string     `json:"id"`
-	Address     string     `json:"address"` // TCP address for calls from peers.
-	Gossip      string     `json:"gossip"`  // UDP address for membership.
-	Domain      string     `json:"domain"`
-	Region      string     `json:"region"`
+	ID      string `json:"id"`
+	Address string `json:"address"` // TCP address for calls from peers.
+	Gossip  string `json:"gossip"`  // UDP address for membership.
+	Domain  string `json:"domain"`
+	Region  string `json:"region"`
+	// Millicores is the processing power in thousandths of a core; zero means
+	// that it is not known.
+	Millicores  int        `json:"millicores,omitempty"`
 	Incarnation uint64     `json:"incarnation"`
 	State       State      `json:"state"`
 	Since       time.Time  `json:"since"` // Local time of the last change of state or incarnation.
--- a/serve/node.go
+++ b/serve/node.go
@@ -221,7 +221,7 @@
 	n.members = &member.Service{
 		Self: member.VM{
 			ID: n.Settings.VM, Address: n.Settings.Peer, Gossip: n.Settings.Gossip,
-			Domain: n.Settings.Domain, Region: n.Settings.Region,
+			Domain: n.Settings.Domain, Region: n.Settings.Region, Millicores: n.Settings.millicores(),
 		},
 		Seeds: n.Seeds, Network: n.Network, Clock: n.Clock, Random: n.Random,
 		Log: n.logger("member"), Metrics: n.Metrics, Rumors: n.receiveRumor,
--- a/serve/settings.go
+++ b/serve/settings.go
@@ -10,21 +10,30 @@
 
 // Settings are the settings of a node that serves opaque routes.
 type Settings struct {
-	VM            string // Identifier of this VM, unique in the fleet.
-	Domain        string // Failure domain of this VM.
-	Region        string
-	Listen        string        // Callers' address, IP:port.
-	Ready         string        // Balancers' address, IP:port.
-	MetricsListen string        // Address of the metrics, IP:port; empty for none.
-	Peer          string        // Address for other nodes, TCP, IP:port.
-	Gossip        string        // Address for membership, UDP, IP:port.
-	StopTime      time.Duration // Time for a planned stop.
+	VM     string // Identifier of this VM, unique in the fleet.
+	Domain string // Failure domain of this VM.
+	Region string
+	// CPUShare is the part of a core that this VM has, and CPUSpeed how many
+	// times as fast as others that core is; zero means that they are not known.
+	CPUShare, CPUSpeed float64
+	Listen             string        // Callers' address, IP:port.
+	Ready              string        // Balancers' address, IP:port.
+	MetricsListen      string        // Address of the metrics, IP:port; empty for none.
+	Peer               string        // Address for other nodes, TCP, IP:port.
+	Gossip             string        // Address for membership, UDP, IP:port.
+	StopTime           time.Duration // Time for a planned stop.
 	// BalancerWait is the time in which the balancer notices that the node is no
 	// longer ready.
 	BalancerWait time.Duration
 	Bounds       relay.Bounds
 }
 
+// millicores returns the processing power of this VM in thousandths of a core.
+func (s Settings) millicores() int {
+	const whole = 1000
+	return int(s.CPUShare * s.CPUSpeed * whole)
+}
+
 // WithReloaded returns the settings with those of others that may change while
 // a node runs, and the names of the ones that differ beside them.
 func (s Settings) WithReloaded(other Settings) (settings Settings, fixed []string) {
@@ -63,6 +72,9 @@
 			return fault.BadField(a.field, "%q is not IP:port", a.value)
 		}
 	}
+	if s.CPUShare < 0 || s.CPUSpeed < 0 {
+		return fault.BadField("cpu_share", "the share of a core and its speed must not be negative")
+	}
 	if s.StopTime <= 0 {
 		return fault.BadField("stop_time", "must be above zero")
 	}
