Let eight VMs read the store for all

Now the first eight VMs in rank read it; the others ask one of them every 0.6 s, rely on a reading of at most 1.4 s, and read the store themselves if that fails or they are in doubt. Up to eight VMs nothing changes. What a node tells has its clock's time and how long lapsed entries are kept: times of cold targets were passed on as the teller's clock had them.

--- a/news/ask.go
+++ b/news/ask.go
@@ -19,7 +19,9 @@
 		at := int(s.Random.Uint64() % uint64(len(others)))
 		vm := others[at]
 		others = append(others[:at:at], others[at+1:]...)
-		s.askPeer(ctx, vm)
+		if _, err := s.askPeer(ctx, vm); err != nil {
+			s.Log.WithFields(logrus.Fields{"peer": vm, "error": err.Error()}).Info("no news from peer")
+		}
 	}
 }
 
@@ -33,7 +35,7 @@
 	return ids
 }
 
-func (s *Service) askPeer(ctx context.Context, vm string) {
+func (s *Service) askPeer(ctx context.Context, vm string) (told, error) {
 	calling, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	s.mutex.Lock()
@@ -41,10 +43,10 @@
 	s.mutex.Unlock()
 	var answer told
 	if err := s.Peers.Call(calling, vm, MethodTell, mine, &answer); err != nil {
-		s.Log.WithFields(logrus.Fields{"peer": vm, "error": err.Error()}).Info("no news from peer")
-		return
+		return told{}, err
 	}
 	s.take(vm, answer)
+	return answer, nil
 }
 
 func (s *Service) take(vm string, answer told) {
@@ -53,10 +55,14 @@
 		n.Config = site.NewConfig(*answer.Config)
 	}
 	if answer.Directory != nil {
-		n.Directory = site.NewDirectory(*answer.Directory)
+		n.Directory = shifted(*answer.Directory, s.Clock.Now().Sub(answer.Now))
 	}
 	s.mutex.Lock()
-	change := s.state.Heard(s.Clock.Now(), n)
+	now := s.Clock.Now()
+	if answer.Keep > 0 {
+		s.state.KeepFor(now, answer.Keep)
+	}
+	change := s.state.Heard(now, n)
 	s.mutex.Unlock()
 	s.changed(change, vm)
 }
@@ -65,7 +71,8 @@
 func (s *Service) HandleTell(_ context.Context, theirs known) (told, error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	var answer told
+	now := s.Clock.Now()
+	answer := told{Now: now, Age: now.Sub(s.heard), Keep: s.state.KeptFor(now)}
 	if c := s.state.Config(); c.Known() && c.Version > theirs.Version {
 		answer.Config = &c
 	}
--- /dev/null
+++ b/news/reader.go
@@ -0,0 +1,67 @@
+package news
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"bergamotworks/member"
+	"bergamotworks/site"
+)
+
+const (
+	// readers is the number of VMs that read the store for all, so that the calls
+	// to it do not grow with the fleet.
+	readers   = 8
+	readerKey = "news/readers"
+	// listenInterval is the time between two questions to a reader.
+	listenInterval = 600 * time.Millisecond
+	// reliedAge is the age of a reader's last reading up to which others rely on
+	// it. It is not much longer than readInterval.
+	reliedAge = 1400 * time.Millisecond
+)
+
+// reads reports whether this VM reads the store itself: it is one of the readers,
+// or cannot tell who they are.
+func (s *Service) reads() bool {
+	view := s.View()
+	if view.Doubt || view.CutOff || !s.Directory().Known() {
+		return true
+	}
+	ranked := view.Rank(readerKey, readers)
+	return len(ranked) < readers || slices.ContainsFunc(ranked, s.isSelf)
+}
+
+func (s *Service) isSelf(m member.VM) bool { return m.ID == s.Self }
+
+// listen takes in the news of a reader. It reports false if none can be relied
+// on, so that the store has to be read.
+func (s *Service) listen(ctx context.Context) bool {
+	ranked := slices.DeleteFunc(s.View().Rank(readerKey, readers), s.isSelf)
+	if len(ranked) == 0 {
+		return false
+	}
+	vm := ranked[s.Random.Uint64()%uint64(len(ranked))].ID
+	answer, err := s.askPeer(ctx, vm)
+	if err != nil || answer.Age > reliedAge {
+		return false
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.heard = s.Clock.Now().Add(-answer.Age)
+	s.state.Relied()
+	return true
+}
+
+// shifted returns a directory whose times are those of a clock that is ahead of
+// the teller's by a difference.
+func shifted(d site.Directory, difference time.Duration) site.Directory {
+	targets := slices.Clone(d.Targets)
+	for i := range targets {
+		if !targets[i].ColdUntil.IsZero() {
+			targets[i].ColdUntil = targets[i].ColdUntil.Add(difference)
+		}
+	}
+	d.Targets = targets
+	return site.NewDirectory(d)
+}
--- a/news/service.go
+++ b/news/service.go
@@ -85,6 +85,12 @@
 	Config     *site.Config    `json:"config,omitempty"`
 	Directory  *site.Directory `json:"directory,omitempty"`
 	Departures *Departures     `json:"departures,omitempty"`
+	// Now is the time of the teller's clock.
+	Now time.Time `json:"now"`
+	// Age is the time since the teller knew what the store says.
+	Age time.Duration `json:"age_ns"`
+	// Keep is how long entries that have lapsed are still kept.
+	Keep time.Duration `json:"keep_ns,omitempty"`
 }
 
 // Run follows the store until the context ends.
@@ -120,6 +126,13 @@
 func (s *Service) loopOperated(ctx context.Context) error {
 	var revision int64 // Zero if the keys are to be read.
 	for ctx.Err() == nil {
+		if !s.reads() {
+			revision = 0
+			if !s.pause(ctx, listenInterval) {
+				return nil
+			}
+			continue
+		}
 		var err error
 		if revision == 0 {
 			revision, err = s.readOperated(ctx)
@@ -158,7 +171,10 @@
 func (s *Service) loopDirectory(ctx context.Context) error {
 	for {
 		wait := readInterval
-		if err := s.readDirectory(ctx); err != nil {
+		switch {
+		case !s.reads() && s.listen(ctx):
+			wait = listenInterval
+		case s.readDirectory(ctx) != nil:
 			wait = failedInterval
 			s.ask(ctx)
 		}
--- a/news/state.go
+++ b/news/state.go
@@ -56,6 +56,10 @@
 // Failed takes in that the store could not be read.
 func (s *State) Failed() { s.outage = true }
 
+// Relied takes in that another node has read the store. How long lapsed entries
+// are kept is then that node's to tell.
+func (s *State) Relied() { s.outage = false }
+
 // Read takes in what the store says at now.
 func (s *State) Read(now time.Time, n Snapshot) Change {
 	if s.outage {
@@ -98,6 +102,13 @@
 	return max(0, s.keepUntil.Sub(now))
 }
 
+// KeepFor keeps entries that have lapsed for a time, as another node does.
+func (s *State) KeepFor(now time.Time, keep time.Duration) {
+	if until := now.Add(keep); until.After(s.keepUntil) {
+		s.keepUntil = until
+	}
+}
+
 // Expire drops entries that have lapsed if they were kept for long enough.
 func (s *State) Expire(now time.Time) Change {
 	var c Change
