--- a/news/reader.go
+++ b/news/reader.go
@@ -34,14 +34,24 @@
 
 func (s *Service) isSelf(m member.VM) bool { return m.ID == s.Self }
 
-// listen takes in the news of a reader. It reports false if none can be relied
-// on, so that the store has to be read.
+// listen takes in the news of a reader, or of another one if it has not read the
+// store for a while itself. It reports false if neither can be relied on.
 func (s *Service) listen(ctx context.Context) bool {
 	ranked := slices.DeleteFunc(s.View().Rank(readerKey, readers), s.isSelf)
-	if len(ranked) == 0 {
-		return false
+	for range min(askedPeers, len(ranked)) {
+		at := int(s.Random.Uint64() % uint64(len(ranked)))
+		vm := ranked[at].ID
+		ranked = slices.Delete(ranked, at, at+1)
+		if s.listenTo(ctx, vm) {
+			return true
+		}
 	}
-	vm := ranked[s.Random.Uint64()%uint64(len(ranked))].ID
+	return false
+}
+
+// listenTo takes in the news of one reader and reports whether it can be relied
+// on.
+func (s *Service) listenTo(ctx context.Context, vm string) bool {
 	answer, err := s.askPeer(ctx, vm)
 	if err != nil || answer.Age > reliedAge {
 		return false
--- a/news/reader_test.go
+++ b/news/reader_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -29,6 +30,10 @@
 	// at which the store turns them away; zero means never.
 	KillReadersMS int `json:"kill_readers_ms"`
 	DeafReadersMS int `json:"deaf_readers_ms"`
+	// DeafAllMS is the time from which the store turns all away, and BackMS that
+	// at which it is back.
+	DeafAllMS int `json:"deaf_all_ms"`
+	BackMS    int `json:"back_ms"`
 	// MostCallsPerSecond bounds the calls to the store in the last five seconds,
 	// and MostLagMS the time until every node knows a change.
 	MostCallsPerSecond float64 `json:"most_calls_per_second"`
@@ -89,7 +94,7 @@
 	context context.Context
 	cancel  context.CancelFunc
 	done    chan struct{}
-	dead    bool
+	dead    atomic.Bool
 }
 
 func newReadersWorld(c readersCase) *readersWorld {
@@ -133,11 +138,20 @@
 	first := w.view.Rank(readerKey, readers)
 	if c.KillReadersMS == ms && ms > 0 {
 		for _, r := range first {
-			w.nodes[r.ID].dead = true
+			w.nodes[r.ID].dead.Store(true)
 			w.nodes[r.ID].cancel()
 		}
 	}
-	if c.DeafReadersMS == ms && ms > 0 {
+	if c.DeafAllMS == ms && ms > 0 {
+		first = w.view.Members()
+	}
+	if c.BackMS == ms && ms > 0 {
+		w.mutex.Lock()
+		w.deaf = make(map[string]bool)
+		w.changed = time.Now() // From here on a change can be known.
+		w.mutex.Unlock()
+	}
+	if ms > 0 && (c.DeafReadersMS == ms || c.DeafAllMS == ms) {
 		w.mutex.Lock()
 		for _, r := range first {
 			w.deaf[r.ID] = true
@@ -148,11 +162,14 @@
 
 // watch checks how long a change takes to arrive everywhere.
 func (w *readersWorld) watch(t *testing.T, c readersCase) {
-	if !w.waiting {
+	w.mutex.Lock()
+	hidden := len(w.deaf) == len(w.nodes)
+	w.mutex.Unlock()
+	if !w.waiting || hidden {
 		return
 	}
 	for _, n := range w.nodes {
-		if _, stale := n.service.Directory().Find("old"); stale && !n.dead {
+		if _, stale := n.service.Directory().Find("old"); stale && !n.dead.Load() {
 			if lag := time.Since(w.changed); lag > time.Duration(c.MostLagMS)*time.Millisecond {
 				t.Fatalf("%s does not know a change after %s", n.service.Self, lag)
 			}
@@ -219,7 +236,7 @@
 func (n *readersNode) Call(ctx context.Context, vm, _ string, params, result any) error {
 	time.Sleep(2 * time.Millisecond)
 	other := n.world.nodes[vm]
-	if other.dead {
+	if other.dead.Load() {
 		return fault.New(fault.Unavailable, fault.NotRun, "no connection to %s", vm)
 	}
 	answer, err := other.service.HandleTell(ctx, params.(known))
--- a/news/service.go
+++ b/news/service.go
@@ -169,14 +169,19 @@
 
 // loopDirectory reads the directory again and again.
 func (s *Service) loopDirectory(ctx context.Context) error {
+	var tried time.Time // Last reading by a VM that listens.
 	for {
 		wait := readInterval
+		listens := !s.reads()
 		switch {
-		case !s.reads() && s.listen(ctx):
+		case listens && s.listen(ctx):
 			wait = listenInterval
+		case listens && s.Clock.Now().Sub(tried) < readInterval:
+			wait = failedInterval // All of the fleet at once would flood a store that comes back.
 		case s.readDirectory(ctx) != nil:
 			wait = failedInterval
 			s.ask(ctx)
+			tried = s.Clock.Now()
 		}
 		if !s.rest(ctx, wait) {
 			return nil
