--- a/cmds/reload.go
+++ b/cmds/reload.go
@@ -81,7 +81,7 @@
 		r.log.WithFields(logrus.Fields{"reason": reason, "error": err.Error()}).Warn("settings not taken over")
 		return
 	}
-	r.log.WithField("reason", reason).Info("settings are read again")
+	r.log.WithField("reason", reason).Info("reload of settings")
 	r.apply(v)
 }
 
--- a/news/service.go
+++ b/news/service.go
@@ -71,6 +71,7 @@
 	mutex sync.Mutex
 	state State
 	heard time.Time // Last success with the store.
+	tried time.Time // Last failure to read the directory; of the loop only.
 }
 
 // known is what one node tells another.
@@ -169,26 +170,30 @@
 
 // loopDirectory reads the directory again and again.
 func (s *Service) loopDirectory(ctx context.Context) error {
-	var tried time.Time // Last reading by a VM that listens.
 	for {
-		wait := readInterval
-		listens := !s.reads()
-		switch {
-		case listens && s.listen(ctx):
-			wait = listenInterval
-		case listens && s.Clock.Now().Sub(tried) < readInterval:
-			wait = failedInterval // All of the fleet at once would flood a store that comes back.
-		case s.readDirectory(ctx) != nil:
-			wait = failedInterval
-			s.ask(ctx)
-			tried = s.Clock.Now()
-		}
-		if !s.rest(ctx, wait) {
+		if !s.rest(ctx, s.follow(ctx)) {
 			return nil
 		}
 	}
 }
 
+// follow learns of the directory once and returns the time until the next try.
+func (s *Service) follow(ctx context.Context) time.Duration {
+	listens := !s.reads()
+	if listens && s.listen(ctx) {
+		return listenInterval
+	}
+	if listens && s.Clock.Now().Sub(s.tried) < readInterval {
+		return failedInterval // A whole fleet would flood a store that comes back.
+	}
+	if s.readDirectory(ctx) == nil {
+		return readInterval
+	}
+	s.tried = s.Clock.Now()
+	s.ask(ctx)
+	return failedInterval
+}
+
 // rest waits for the next reading and drops entries meanwhile that are kept no
 // longer.
 func (s *Service) rest(ctx context.Context, wait time.Duration) bool {
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -91,7 +91,7 @@
 	case pauseNode:
 		j.pause(&n.process, f.hold)
 	case hangUpNode:
-		j.note(n.signal(syscall.SIGHUP))
+		j.report(n.signal(syscall.SIGHUP))
 	case pauseStore:
 		j.pause(w.store, f.hold)
 	case cutStore:
@@ -114,7 +114,7 @@
 	}
 }
 
-func (j *injector) note(err error) {
+func (j *injector) report(err error) {
 	if err == nil {
 		return
 	}
@@ -149,12 +149,12 @@
 	defer j.release(&n.process)
 	n.disturb(1)
 	defer n.disturb(-1)
-	j.note(n.signal(s))
+	j.report(n.signal(s))
 	if err := n.wait(); err != nil && s == syscall.SIGTERM {
-		j.note(fmt.Errorf("%s does not end well after SIGTERM: %w", n.id, err))
+		j.report(fmt.Errorf("%s does not end well after SIGTERM: %w", n.id, err))
 	}
 	time.Sleep(hold)
-	j.note(n.start())
+	j.report(n.start())
 	awaitReady(n.admin)
 }
 
@@ -165,9 +165,9 @@
 	defer j.release(p)
 	p.disturb(1)
 	defer p.disturb(-1)
-	j.note(p.signal(syscall.SIGSTOP))
+	j.report(p.signal(syscall.SIGSTOP))
 	time.Sleep(hold)
-	j.note(p.signal(syscall.SIGCONT))
+	j.report(p.signal(syscall.SIGCONT))
 }
 
 func (j *injector) cut(p *proxy, f fault) {
--- a/soak/run.go
+++ b/soak/run.go
@@ -51,7 +51,7 @@
 
 // Do runs the soak. The error says that it could not be run.
 func (r *Run) Do(ctx context.Context) (Report, error) {
-	random := rand.New(rand.NewPCG(r.Seed, 0)) //nolint:gosec // Reproducible on purpose.
+	random := rand.New(rand.NewPCG(r.Seed, 0))
 	w := &world{
 		binary: r.Binary, dir: r.Dir, witness: &witness{runs: make(map[string]int)},
 		network: nextNetwork(),
@@ -99,7 +99,7 @@
 	var done, calling sync.WaitGroup
 	var callers []*caller
 	for i := range callersPerNode * r.Nodes {
-		c := &caller{world: w, name: fmt.Sprintf("c%d", i), late: r.Late, random: rand.New(rand.NewPCG(random.Uint64(), 0))} //nolint:gosec // As above.
+		c := &caller{world: w, name: fmt.Sprintf("c%d", i), late: r.Late, random: rand.New(rand.NewPCG(random.Uint64(), 0))}
 		callers = append(callers, c)
 		calling.Add(1)
 		go c.run(ctx, &calling)
--- a/soak/world.go
+++ b/soak/world.go
@@ -141,7 +141,7 @@
 
 // offer brings the first release note into force.
 func (w *world) offer() error {
-	text, err := json.Marshal(w.note())
+	text, err := json.Marshal(w.firstNote())
 	if err != nil {
 		return trace.Wrap(err)
 	}
@@ -177,7 +177,8 @@
 	return nil
 }
 
-func (w *world) note() note.Note {
+// firstNote returns the release note with all routes and targets.
+func (w *world) firstNote() note.Note {
 	n := note.Note{ID: "soak", Added: note.Sections{
 		Domains: make(map[string]note.FailureDomain), Targets: make(map[string]note.Target),
 		Services: map[string]note.Service{
