Ask a former owner who gathers, and let young VMs wait for the membership

Cause: each knew other ready members than the next. A VM that does not own a service now names the owner instead of taking the work and failing it at its next tick; up to three are asked. For 2.5 s after its start a VM sends no pieces while its membership has changed within 0.25 s.

--- a/batch/service.go
+++ b/batch/service.go
@@ -30,6 +30,11 @@
 	// doubtTime is how long work waits for a membership in doubt before this VM
 	// gathers it itself. Many owners at once would fill the targets' queues.
 	doubtTime = 1 * time.Second
+	// youngTime is the time after a start in which a membership that has changed
+	// within calmTime is still being learned. When a whole fleet starts, each VM
+	// would gather for itself otherwise.
+	youngTime = 2500 * time.Millisecond
+	calmTime  = 250 * time.Millisecond
 )
 
 // Caller calls methods of other nodes.
@@ -53,6 +58,9 @@
 	tables  map[string]*gathered
 	waits   map[string]toldWait
 	doubted time.Time // Time since which the membership is in doubt; zero if it is not.
+	begun   time.Time // Start of the run.
+	version uint64    // Of the membership.
+	moved   time.Time // Time at which that version was first seen.
 	leaving bool
 	running sync.WaitGroup
 	base    context.Context
@@ -82,6 +90,9 @@
 	Handles []string `json:"handles"`
 	// Wait is the time until work that is entered now begins.
 	Wait time.Duration `json:"wait_ns,omitempty"`
+	// Owner is the VM that gathers as far as the one that was asked knows; empty
+	// if it is itself. Then nothing was done.
+	Owner string `json:"owner,omitempty"`
 }
 
 // toldWait is the wait at a service as its owner told it.
@@ -99,6 +110,9 @@
 // Run drops overdue work until the context ends.
 func (s *Service) Run(ctx context.Context) error {
 	s.once.Do(s.init)
+	s.mutex.Lock()
+	s.begun = s.Clock.Now()
+	s.mutex.Unlock()
 	for {
 		select {
 		case <-ctx.Done():
@@ -132,6 +146,9 @@
 // HandleSubmit gathers work of another node.
 func (s *Service) HandleSubmit(ctx context.Context, p submission) (handles, error) {
 	s.once.Do(s.init)
+	if vm, ok := s.View().Owner(ownerPrefix + p.Service); ok && vm.ID != s.Self {
+		return handles{Owner: vm.ID}, nil
+	}
 	now := s.Clock.Now()
 	p.Target = now.Add(p.TargetLeft)
 	p.Deadline = now.Add(p.DeadlineLeft)
@@ -226,6 +243,9 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	now := s.Clock.Now()
+	if v := s.View().Version; v != s.version {
+		s.version, s.moved = v, now
+	}
 	for _, g := range s.tables {
 		s.refresh(g)
 		if vm, ok := s.View().Owner(ownerPrefix + g.name); ok && vm.ID != s.Self && len(g.waiters) > 0 {
--- a/batch/service_test.go
+++ b/batch/service_test.go
@@ -138,3 +138,48 @@
 
 // Room returns memory for many results.
 func (w *serviceWorld) Room(context.Context, site.Target) (int64, error) { return 1 << 20, nil }
+
+// TestViewsDiffer has a VM ask a former owner, which knows the present one.
+func TestViewsDiffer(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	w := &serviceWorld{}
+	w.set(serviceStep{Targets: []string{"a"}})
+	mesh := make(fakeMesh)
+	// Who owns the service in the view of each VM.
+	for vm, owner := range map[string]string{"vm-1": "vm-2", "vm-2": "vm-3", "vm-3": "vm-3", "vm-4": "vm-5", "vm-5": "vm-4"} {
+		view := member.NewView(member.VM{ID: owner, Attributes: member.Attributes{Ready: true}})
+		s := &Service{
+			Self: vm, Config: w.currentConfig, Directory: w.currentDirectory, View: func() member.View { return view },
+			Runner: w, Peers: mesh, Clock: ports.SystemClock{}, Log: logrus.NewEntry(log), Metrics: metrics.NewSet(),
+		}
+		s.once.Do(s.init)
+		mesh[vm] = s
+		defer func() { _ = s.Close() }() // It reports nothing.
+	}
+	now := time.Now()
+	work := Work{Service: "svc", Request: "r", Pieces: 1, Target: now.Add(time.Minute), Deadline: now.Add(time.Minute)}
+	if _, err := mesh["vm-1"].submitOnce(t.Context(), work); err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(1, len(mesh["vm-3"].tables)); diff != "" {
+		t.Errorf("services that vm-3 gathers for (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff(0, len(mesh["vm-2"].tables)); diff != "" {
+		t.Errorf("services that vm-2 gathers for (-want +got):\n%s", diff)
+	}
+	_, err := mesh["vm-4"].submitOnce(t.Context(), work)
+	if !passing(err) {
+		t.Errorf("two VMs that name each other: want an error that passes, got %v", err)
+	}
+}
+
+// fakeMesh has services call each other.
+type fakeMesh map[string]*Service
+
+// Call has another service answer.
+func (f fakeMesh) Call(ctx context.Context, vm, _ string, params, result any) error {
+	answer, err := f[vm].HandleSubmit(ctx, params.(submission))
+	*result.(*handles) = answer
+	return err
+}
--- a/batch/submit.go
+++ b/batch/submit.go
@@ -10,6 +10,9 @@
 	"bergamotworks/member"
 )
 
+// maxHops bounds the VMs that are asked for the owner of a service.
+const maxHops = 3
+
 // Do has the pieces of a stage made by whichever VM gathers for the service,
 // and returns their handles in order.
 func (s *Service) Do(ctx context.Context, w Work) ([]string, error) {
@@ -49,24 +52,41 @@
 		s.told(w.Service, s.ownWait(w.Service))
 		return made, err
 	}
-	now := s.Clock.Now()
-	params := submission{Work: w, TargetLeft: w.Target.Sub(now), DeadlineLeft: w.Deadline.Sub(now)}
-	var answer handles
-	if err := s.Peers.Call(ctx, vm.ID, MethodSubmit, params, &answer); err != nil {
-		if e := fault.From(err); e.Kind == fault.Busy {
-			s.told(w.Service, e.RetryAfter)
+	return s.submitTo(ctx, vm.ID, w)
+}
+
+// submitTo submits work to the owner of its service. VMs whose views differ for a
+// moment are asked who it is.
+func (s *Service) submitTo(ctx context.Context, vm string, w Work) ([]string, error) {
+	for range maxHops {
+		now := s.Clock.Now()
+		params := submission{Work: w, TargetLeft: w.Target.Sub(now), DeadlineLeft: w.Deadline.Sub(now)}
+		var answer handles
+		if err := s.Peers.Call(ctx, vm, MethodSubmit, params, &answer); err != nil {
+			if e := fault.From(err); e.Kind == fault.Busy {
+				s.told(w.Service, e.RetryAfter)
+			}
+			return nil, err
 		}
-		return nil, err
+		if answer.Owner == "" {
+			s.told(w.Service, answer.Wait)
+			return answer.Handles, nil
+		}
+		s.Log.WithFields(logrus.Fields{"request": w.Request, "service": w.Service, "asked": vm, "owner": answer.Owner}).Info("another VM gathers")
+		vm = answer.Owner
 	}
-	s.told(w.Service, answer.Wait)
-	return answer.Handles, nil
+	return nil, fault.New(fault.Conflict, fault.NotRun, "the VMs do not agree on who gathers for %s", w.Service)
 }
 
-// doubts reports whether the membership has come into doubt a short time ago.
+// doubts reports whether the membership has come into doubt a short time ago, or
+// is still being learned by a VM that has just started.
 func (s *Service) doubts(view member.View) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	now := s.Clock.Now()
+	if now.Sub(s.begun) < youngTime && now.Sub(s.moved) < calmTime {
+		return true
+	}
 	switch {
 	case !view.Doubt:
 		s.doubted = time.Time{}
