Let the safety tests wait for their nodes as long as it takes

The limit is the demo's, for people who wait, and was a measure of speed in a test. It is a field of the system now, five minutes in TestSafety; the demo and the trial keep 20 s. Ruled out: nodes that never become ready.

--- a/cmds/trial.go
+++ b/cmds/trial.go
@@ -93,7 +93,7 @@
 		script.Seed = v.seed
 	}
 	result, err := trial.Run(ctx, script, trial.Options{
-		Start: demo.Starter(v.nodes, log), Policy: v.policy, Deployment: v.deployment, MaxRate: v.rate,
+		Start: demo.Starter(v.nodes, 0, log), Policy: v.policy, Deployment: v.deployment, MaxRate: v.rate,
 		Network: ports.SystemNetwork{}, Clock: ports.SystemClock{},
 	})
 	if err != nil {
--- a/demo/safety_test.go
+++ b/demo/safety_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"github.com/sirupsen/logrus"
@@ -28,6 +29,9 @@
 	Trial trial.Script `json:"trial"`
 }
 
+// startLimit bounds the wait for the nodes to start; it is no measure of speed.
+const startLimit = 5 * time.Minute
+
 // TestSafety runs short experiments over real sockets and checks what the
 // stand-ins counted.
 func TestSafety(t *testing.T) {
@@ -36,7 +40,7 @@
 	script.Run(t, "testdata/*.json", func(t *testing.T, data faultScript) {
 		t.Parallel()
 		result, err := trial.Run(t.Context(), data.Trial, trial.Options{
-			Start: Starter(data.Nodes, log), Policy: "owned", MaxRate: data.Rate,
+			Start: Starter(data.Nodes, startLimit, log), Policy: "owned", MaxRate: data.Rate,
 			Network: ports.SystemNetwork{}, Clock: ports.SystemClock{},
 		})
 		if err != nil {
--- a/demo/starter.go
+++ b/demo/starter.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -11,15 +12,16 @@
 	"bergamotworks/trial"
 )
 
-// Starter returns a function that starts systems for experiments.
-func Starter(size int, log *logrus.Logger) trial.Starter {
+// Starter returns a function that starts systems for experiments. Ready bounds
+// the wait for their nodes; zero means 20 s.
+func Starter(size int, ready time.Duration, log *logrus.Logger) trial.Starter {
 	return func(ctx context.Context, config note.Config, policy string) (trial.System, error) {
 		chosen, err := pool.PolicyString(policy)
 		if err != nil {
 			return nil, fault.BadField("policy", "%q is not a policy", policy)
 		}
 		first := note.Note{ID: "experiment", Added: config.Sections}
-		s := &System{Note: first, Size: size, Policy: chosen, Log: log}
+		s := &System{Note: first, Size: size, Policy: chosen, ReadyLimit: ready, Log: log}
 		if err := s.Start(ctx); err != nil {
 			_ = s.Close()
 			return nil, err
--- a/demo/system.go
+++ b/demo/system.go
@@ -1,6 +1,7 @@
 package demo
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"strconv"
@@ -29,7 +30,9 @@
 	// Listen and Admin are the first node's addresses; empty takes free ports.
 	Listen string
 	Admin  string
-	Log    *logrus.Logger
+	// ReadyLimit bounds the wait for the nodes at the start; zero means 20 s.
+	ReadyLimit time.Duration
+	Log        *logrus.Logger
 
 	config  note.Config
 	memory  *store.Memory
@@ -52,7 +55,7 @@
 }
 
 const (
-	readyLimit    = 20 * time.Second
+	defaultReady  = 20 * time.Second
 	readyInterval = 20 * time.Millisecond
 	drainLimit    = 20 * time.Second
 	storeCalls    = 100 // Calls per second of one node.
@@ -176,12 +179,13 @@
 
 // awaitReady waits until every node takes work and knows all others.
 func (s *System) awaitReady(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, readyLimit)
+	limit := cmp.Or(s.ReadyLimit, defaultReady)
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	for !s.ready() {
 		select {
 		case <-ctx.Done():
-			return fault.New(fault.Unavailable, fault.NotRun, "the nodes did not become ready within %s", readyLimit)
+			return fault.New(fault.Unavailable, fault.NotRun, "the nodes did not become ready within %s", limit)
 		case <-time.After(readyInterval):
 		}
 	}
