--- a/batch/service.go
+++ b/batch/service.go
@@ -72,7 +72,6 @@
 type gathered struct {
 	name    string
 	table   Table
-	known   bool          // The table has been given targets.
 	targets []site.Target // As the table was last given.
 	waiters map[uint64]chan Done
 }
@@ -224,10 +223,10 @@
 		g.table.Limits = *service.Batch
 	}
 	usable := s.Directory().Usable(g.name)
-	if g.known && slices.Equal(usable, g.targets) {
+	if slices.Equal(usable, g.targets) {
 		return
 	}
-	g.known, g.targets = true, usable
+	g.targets = usable
 	g.table.SetTargets(s.Clock.Now(), usable)
 }
 
--- a/batch/service_test.go
+++ b/batch/service_test.go
@@ -186,6 +186,14 @@
 	return err
 }
 
+// serviceRun reports the end of a service's run.
+type serviceRun struct {
+	service *Service
+	done    chan<- error
+}
+
+func (r serviceRun) run(ctx context.Context) { r.done <- r.service.Run(ctx) }
+
 // TestDoubtIsBounded has a VM that has just started and knows no other one wait
 // no longer than for a membership in doubt.
 func TestDoubtIsBounded(t *testing.T) {
@@ -202,9 +210,10 @@
 		}
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan error, 1)
-		go func() { done <- s.Run(ctx) }()
+		r := serviceRun{service: s, done: done}
+		go r.run(ctx)
 		version.Store(2)
-		time.Sleep(tickInterval + time.Millisecond) // The change has just been seen.
+		time.Sleep(tickInterval + time.Millisecond) // In virtual time: the change has just been seen.
 		began := time.Now()
 		work := Work{Service: "svc", Request: "r", Pieces: 1, Target: began.Add(time.Minute), Deadline: began.Add(time.Minute)}
 		if _, err := s.Do(ctx, work); err != nil {
--- a/emul/handler.go
+++ b/emul/handler.go
@@ -153,10 +153,7 @@
 	if !ok {
 		return
 	}
-	alive := r.work(h.target.Service.Typical())
-	r.finish(alive, 0)
-	if !alive {
-		breakOff(ctx)
+	if !r.complete(ctx, h.target.Service.Typical()) {
 		return
 	}
 	output := Output(kind, body.Input, body.Previous, 0)
@@ -164,6 +161,17 @@
 	ctx.SetBodyString(`{"id":` + strconv.Quote(r.attempt) + `,"output":` + string(output) + `}`)
 }
 
+// complete does all the work of a call. It reports false if the life ended, and
+// has broken off the answer then.
+func (r *run) complete(ctx *fasthttp.RequestCtx, usual time.Duration) bool {
+	alive := r.work(usual)
+	r.finish(alive, 0)
+	if !alive {
+		breakOff(ctx)
+	}
+	return alive
+}
+
 // work takes the time that the work needs under the present load. The time is
 // counted from the end of the work before, so that late wake-ups of the machine
 // do not add up. It reports false if the life ended.
--- a/emul/opaque.go
+++ b/emul/opaque.go
@@ -59,10 +59,7 @@
 		ctx.Response.Header.Set(names.Refused, "1")
 		return
 	}
-	alive := r.work(h.target.Service.Typical())
-	r.finish(alive, 0)
-	if !alive {
-		breakOff(ctx)
+	if !r.complete(ctx, h.target.Service.Typical()) {
 		return
 	}
 	ctx.Response.Header.Set(names.Seal, h.target.Name+"/"+id)
@@ -92,10 +89,7 @@
 		return
 	}
 	b := h.target.Service.Batch
-	alive := r.work(time.Duration(b.CallMS+b.PieceMS*int64(len(call.Pieces))) * time.Millisecond)
-	r.finish(alive, 0)
-	if !alive {
-		breakOff(ctx)
+	if !r.complete(ctx, time.Duration(b.CallMS+b.PieceMS*int64(len(call.Pieces)))*time.Millisecond) {
 		return
 	}
 	answer := engine.PieceAnswer{Results: make([]engine.PieceResult, len(call.Pieces))}
--- a/news/ask.go
+++ b/news/ask.go
@@ -2,35 +2,33 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/sirupsen/logrus"
 
 	"bergamotworks/fault"
+	"bergamotworks/member"
 	"bergamotworks/site"
 )
 
 // ask takes in the news of some other nodes.
 func (s *Service) ask(ctx context.Context) {
-	others := s.others()
-	for range askedPeers {
-		if len(others) == 0 {
-			return
-		}
-		at := int(s.Random.Uint64() % uint64(len(others)))
-		vm := others[at]
-		others = append(others[:at:at], others[at+1:]...)
+	for _, vm := range s.some(s.View().Live()) {
 		if _, err := s.askPeer(ctx, vm); err != nil {
 			s.Log.WithFields(logrus.Fields{"peer": vm, "error": err.Error()}).Info("no news from peer")
 		}
 	}
 }
 
-func (s *Service) others() []string {
+// some returns the identifiers of up to askedPeers other VMs of a list, in random
+// order.
+func (s *Service) some(vms []member.VM) []string {
+	vms = slices.DeleteFunc(slices.Clone(vms), s.isSelf)
 	var ids []string
-	for _, m := range s.View().Live() {
-		if m.ID != s.Self {
-			ids = append(ids, m.ID)
-		}
+	for len(vms) > 0 && len(ids) < askedPeers {
+		at := int(s.Random.Uint64() % uint64(len(vms)))
+		ids = append(ids, vms[at].ID)
+		vms = slices.Delete(vms, at, at+1)
 	}
 	return ids
 }
--- a/news/reader.go
+++ b/news/reader.go
@@ -37,16 +37,7 @@
 // listen takes in the news of a reader, or of another one if it has not read the
 // store for a while itself. It reports false if neither can be relied on.
 func (s *Service) listen(ctx context.Context) bool {
-	ranked := slices.DeleteFunc(s.View().Rank(readerKey, readers), s.isSelf)
-	for range min(askedPeers, len(ranked)) {
-		at := int(s.Random.Uint64() % uint64(len(ranked)))
-		vm := ranked[at].ID
-		ranked = slices.Delete(ranked, at, at+1)
-		if s.listenTo(ctx, vm) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(s.some(s.View().Rank(readerKey, readers)), func(vm string) bool { return s.listenTo(ctx, vm) })
 }
 
 // listenTo takes in the news of one reader and reports whether it can be relied
--- a/news/state.go
+++ b/news/state.go
@@ -87,9 +87,7 @@
 		c.Directory = true
 	}
 	if c.Directory {
-		before := s.directory
-		s.combine(now)
-		c.compare(before, s.directory)
+		s.combine(now, &c)
 	}
 	return c
 }
@@ -117,9 +115,7 @@
 	}
 	s.keepUntil = time.Time{}
 	c.Directory = true
-	before := s.directory
-	s.combine(now)
-	c.compare(before, s.directory)
+	s.combine(now, &c)
 	return c
 }
 
@@ -141,8 +137,8 @@
 	return ids
 }
 
-// combine makes the directory in force from what was read.
-func (s *State) combine(now time.Time) {
+// combine makes the directory in force from what was read and notes what differs.
+func (s *State) combine(now time.Time, c *Change) {
 	if !s.listed.Known() || s.departures == nil {
 		return
 	}
@@ -150,7 +146,9 @@
 	if now.Before(s.keepUntil) {
 		next = next.WithKept(s.missing(s.listed))
 	}
+	before := s.directory
 	s.directory = next.WithDeparted(s.departures.Domains, s.departures.Revision)
+	c.compare(before, s.directory)
 }
 
 // missing returns the targets in force that a directory no longer lists.
--- a/poison/table.go
+++ b/poison/table.go
@@ -48,6 +48,9 @@
 	rumours map[uint64]Rumour
 }
 
+// Empty reports whether no request has been part of a crash.
+func (t *Table) Empty() bool { return len(t.rumours) == 0 }
+
 // Check returns how a request may run at now.
 func (t *Table) Check(now time.Time, fingerprint uint64) Standing {
 	r, known := t.rumours[fingerprint]
--- a/relay/crash.go
+++ b/relay/crash.go
@@ -41,23 +41,30 @@
 }
 
 // fingerprint tells requests with the same content apart from others, whatever
-// identifier they carry.
+// identifier they carry. It is worked out when it is first needed.
 func (j *job) fingerprint() uint64 {
+	if j.print != 0 {
+		return j.print
+	}
 	d := xxhash.New()
 	for _, part := range []string{j.service, j.account.Name, j.request.Method, j.request.URI} {
 		_, _ = d.WriteString(part + "\n") // A digest never fails.
 	}
 	_, _ = d.Write(j.request.Body)
-	return d.Sum64()
+	j.print = d.Sum64()
+	return j.print
 }
 
 // condemned refuses a request whose content has crashed targets.
 func (j *job) condemned() error {
 	s := j.server
-	j.print = j.fingerprint()
+	if !s.lostAny() {
+		return nil
+	}
+	content := j.fingerprint()
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if s.crashes.Check(s.Clock.Now(), j.print) != poison.Condemned {
+	if s.crashes.Check(s.Clock.Now(), content) != poison.Condemned {
 		return nil
 	}
 	return fault.New(fault.Condemned, fault.NotRun, "requests with this content have crashed their targets")
@@ -67,12 +74,12 @@
 // request.
 func (j *job) lostTarget(target string) {
 	s := j.server
-	now := s.Clock.Now()
+	now, content := s.Clock.Now(), j.fingerprint()
 	s.mutex.Lock()
-	told := s.crashes.Crashed(now, target, []uint64{j.print})
-	standing := s.crashes.Check(now, j.print)
+	told := s.crashes.Crashed(now, target, []uint64{content})
+	standing := s.crashes.Check(now, content)
 	s.mutex.Unlock()
-	s.Log.WithFields(logrus.Fields{"request": j.id, "target": target, "fingerprint": j.print, "standing": standing.String()}).Info("target lost with a request")
+	s.Log.WithFields(logrus.Fields{"request": j.id, "target": target, "fingerprint": content, "standing": standing.String()}).Info("target lost with a request")
 	if s.Spread == nil {
 		return
 	}
@@ -86,9 +93,21 @@
 // answered takes in that a target has answered the request.
 func (j *job) answered() {
 	s := j.server
+	if !s.lostAny() {
+		return
+	}
+	content := j.fingerprint()
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.crashes.Completed(s.Clock.Now(), content)
+}
+
+// lostAny reports whether any target has been lost with a request. Until then no
+// body has to be hashed.
+func (s *Server) lostAny() bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.crashes.Completed(s.Clock.Now(), j.print)
+	return !s.crashes.Empty()
 }
 
 // ObserveCrash takes in what another node tells.
--- a/relay/job.go
+++ b/relay/job.go
@@ -40,7 +40,7 @@
 	results [][]string
 	// prepaid says that the next send has been taken out of the budget.
 	prepaid   bool
-	print     uint64 // Fingerprint of the content.
+	print     uint64 // Fingerprint of the content; zero before it is worked out.
 	lastEvent int64  // Identifier of the last event that was passed on.
 
 	// What is logged of the request.
