Send small results to a target that has no room for a large one

Cause: a target that answered for one piece that it has no room took no call at all for 100 ms. Most of the waiting work has results of 8 KB, which fit.

Ruled out: the account of the memory itself. The sizes that the configuration states are approximate, so a full account can be exceeded by one result.

Now only results at least as large as the one that did not fit wait. The scripted case small_beside_large failed first.

--- a/batch/dispatch.go
+++ b/batch/dispatch.go
@@ -96,7 +96,7 @@
 			if len(fitting) == size {
 				return fitting
 			}
-			if g.work.Bytes > room {
+			if g.work.Bytes > room || k.crowded(now, g.work.Bytes) {
 				break
 			}
 			room -= g.work.Bytes
@@ -200,7 +200,7 @@
 	case Gone:
 		t.failLive(g, fault.New(fault.NotFound, fault.NotRun, "an input of %s is gone", g.work.Service))
 	case Room:
-		k.restUntil = now.Add(fullTime)
+		k.crowd(now, g.work.Bytes)
 		p.tries--
 		t.again(p, nil)
 	case Failed:
--- a/batch/table.go
+++ b/batch/table.go
@@ -18,8 +18,9 @@
 	largeCrossing = 256 << 10
 	// restTime is how long a target takes no calls after one failed.
 	restTime = 500 * time.Millisecond
-	// fullTime is how long a target takes no calls after it had no room.
-	fullTime = 100 * time.Millisecond
+	// crowdedTime is how long a target gets no work with results as large as one
+	// that it had no room for. Sizes are approximate, so smaller ones may fit.
+	crowdedTime = 100 * time.Millisecond
 	// maxTries bounds the calls in which one piece takes part.
 	maxTries = 3
 )
--- a/batch/target.go
+++ b/batch/target.go
@@ -16,6 +16,9 @@
 	results   map[string]result // By handle.
 	released  []string          // Results to give up with the next tick.
 	restUntil time.Time
+	// crowdedFrom is the size of the results for which there was no room.
+	crowdedFrom  int64
+	crowdedUntil time.Time
 	// foreign is the memory that results of another VM's calls take.
 	foreign      int64
 	foreignUntil time.Time
@@ -64,6 +67,19 @@
 	return free
 }
 
+// crowd notes that a result of a size found no room.
+func (k *state) crowd(now time.Time, bytes int64) {
+	if !now.Before(k.crowdedUntil) || bytes < k.crowdedFrom {
+		k.crowdedFrom = bytes
+	}
+	k.crowdedUntil = now.Add(crowdedTime)
+}
+
+// crowded reports whether a result of a size would find no room.
+func (k *state) crowded(now time.Time, bytes int64) bool {
+	return now.Before(k.crowdedUntil) && bytes >= k.crowdedFrom
+}
+
 // SetTargets replaces the list of targets that take new calls. Targets that are
 // gone from the directory are forgotten once their calls have ended.
 func (t *Table) SetTargets(now time.Time, targets []site.Target) {
