Measure a target's memory again while another VM's results are in the way

Cause: a VM that begins to gather for a service measures each target once and counts what it cannot explain for the whole retention (4 s).

Now a tick asks again every 300 ms, only while work is left out for want of memory. What a target tells is up to 300 ms old, so calls begun since are not counted as known.

Ruled out: a shorter retention; results are kept that long if nobody reads them.

--- a/batch/dispatch.go
+++ b/batch/dispatch.go
@@ -97,6 +97,7 @@
 				return fitting
 			}
 			if g.work.Bytes > room || k.crowded(now, g.work.Bytes) {
+				k.short = true
 				break
 			}
 			room -= g.work.Bytes
@@ -127,7 +128,7 @@
 
 func (t *Table) start(now time.Time, k *state, pieces []*piece) {
 	t.nextRun++
-	r := &run{id: t.nextRun, pieces: pieces}
+	r := &run{id: t.nextRun, pieces: pieces, since: now}
 	call := Start{Run: r.id, Target: k.target}
 	for _, p := range pieces {
 		p.tries++
@@ -159,7 +160,7 @@
 		return
 	}
 	for i, p := range r.pieces {
-		t.takeResult(now, k, p, results[i])
+		t.takeResult(now, r.since, k, p, results[i])
 	}
 	t.dispatch(now)
 }
@@ -173,13 +174,14 @@
 	return k, k.running[id]
 }
 
-func (t *Table) takeResult(now time.Time, k *state, p *piece, r Result) {
+// takeResult takes in the result of a piece whose call began at since.
+func (t *Table) takeResult(now, since time.Time, k *state, p *piece, r Result) {
 	g := p.group
 	if r.Handle == "" {
 		t.takeReason(now, k, p, r.Reason)
 		return
 	}
-	k.results[r.Handle] = result{bytes: g.work.Bytes, until: now.Add(t.Limits.Retention)}
+	k.results[r.Handle] = result{bytes: g.work.Bytes, since: since, until: now.Add(t.Limits.Retention)}
 	if t.groups[g.id] == nil {
 		k.released = append(k.released, r.Handle)
 		return
--- a/batch/table.go
+++ b/batch/table.go
@@ -21,6 +21,11 @@
 	// crowdedTime is how long a target gets no work with results as large as one
 	// that it had no room for. Sizes are approximate, so smaller ones may fit.
 	crowdedTime = 100 * time.Millisecond
+	// measureInterval is the time between two measurements of a target whose
+	// memory is taken by results of another VM's calls.
+	measureInterval = 300 * time.Millisecond
+	// reportLag is the age that a target's account of its memory may have.
+	reportLag = 300 * time.Millisecond
 	// maxTries bounds the calls in which one piece takes part.
 	maxTries = 3
 )
@@ -166,16 +171,26 @@
 // Measured takes in the free memory of a target.
 func (t *Table) Measured(now time.Time, target string, free int64) {
 	if k := t.targets[target]; k != nil {
-		k.foreign = max(0, t.Limits.RoomBytes-free-k.used(now))
-		k.foreignUntil = now.Add(t.Limits.Retention)
-		k.measured = true
+		k.measure(now, t.Limits, free)
 	}
 	t.dispatch(now)
 }
 
+// measureAgain asks for the free memory of targets where results of another
+// VM's calls are in the way.
+func (t *Table) measureAgain(now time.Time) {
+	for _, k := range t.targets {
+		if k.usable && k.outdated(now) {
+			k.measuredAt = now
+			t.actions = append(t.actions, Measure{Target: k.target})
+		}
+	}
+}
+
 // Tick drops what cannot end any more and starts what has become possible.
 func (t *Table) Tick(now time.Time) {
 	t.flush()
+	t.measureAgain(now)
 	for _, g := range t.groups {
 		hopeless := len(g.waiting) > 0 && now.Add(t.callTime(g.work.Pieces)+g.work.Rest).After(g.work.Deadline)
 		if hopeless || !now.Before(g.work.Deadline) {
--- a/batch/target.go
+++ b/batch/target.go
@@ -11,7 +11,6 @@
 type state struct {
 	target    site.Target
 	usable    bool // It takes new calls.
-	measured  bool
 	running   map[uint64]*run
 	results   map[string]result // By handle.
 	released  []string          // Results to give up with the next tick.
@@ -22,11 +21,14 @@
 	// foreign is the memory that results of another VM's calls take.
 	foreign      int64
 	foreignUntil time.Time
+	measuredAt   time.Time
+	short        bool // Work was left out for want of memory since the last measurement.
 }
 
 // result is memory that is taken at a target.
 type result struct {
 	bytes int64
+	since time.Time // Begin of its call.
 	until time.Time
 }
 
@@ -35,6 +37,7 @@
 	id     uint64
 	pieces []*piece
 	bytes  int64
+	since  time.Time
 }
 
 func (k *state) holds(handle string) bool {
@@ -58,6 +61,40 @@
 	return sum
 }
 
+// usedSince returns the part of the used memory that calls begun at a time or
+// later take.
+func (k *state) usedSince(begin time.Time) int64 {
+	var sum int64
+	for _, r := range k.results {
+		if !r.since.Before(begin) {
+			sum += r.bytes
+		}
+	}
+	for _, r := range k.running {
+		if !r.since.Before(begin) {
+			sum += r.bytes
+		}
+	}
+	return sum
+}
+
+// measure takes in that a target has told its free memory. What it tells is as
+// of a short time ago, so the latest calls may be missing in it.
+func (k *state) measure(now time.Time, limits site.Batch, free int64) {
+	if !now.Before(k.foreignUntil) {
+		k.foreignUntil = now.Add(limits.Retention)
+	}
+	known := k.used(now) - k.usedSince(now.Add(-reportLag))
+	k.foreign = max(0, limits.RoomBytes-free-known)
+	k.measuredAt, k.short = now, false
+}
+
+// outdated reports whether work waits for memory that results of another VM's
+// calls took when the target was last measured.
+func (k *state) outdated(now time.Time) bool {
+	return k.short && k.foreign > 0 && now.Before(k.foreignUntil) && now.Sub(k.measuredAt) >= measureInterval
+}
+
 // room returns the free memory.
 func (k *state) room(now time.Time, limit int64) int64 {
 	free := limit - k.used(now)
