--- /dev/null
+++ b/batch/plan.go
@@ -0,0 +1,87 @@
+package batch
+
+import (
+	"slices"
+	"time"
+
+	"bergamotworks/site"
+)
+
+// The times that a request needs beyond the calls of its stages.
+const (
+	engineTime = 150 * time.Millisecond // From the last result to the answer.
+	stageSlack = 50 * time.Millisecond  // Wait of a stage's pieces on a calm day.
+)
+
+// Plan is the stages of one request: what each waits for, reads and leaves to do.
+type Plan struct {
+	Stages []site.Stage
+	Counts []int // Pieces of each stage; a stage without pieces is left out.
+	Config site.Config
+	// Wait returns the time until work of a service begins.
+	Wait func(service string) time.Duration
+}
+
+// Ready reports whether a stage can begin once the stages for which done is true
+// have ended.
+func (p Plan) Ready(stage int, done func(int) bool) bool {
+	for _, a := range p.Stages[stage].After {
+		if p.Counts[a] > 0 && !done(a) {
+			return false
+		}
+	}
+	return true
+}
+
+// Read reports whether every stage that reads the results of a stage is done.
+func (p Plan) Read(stage int, done func(int) bool) bool {
+	for i, s := range p.Stages {
+		if p.Counts[i] > 0 && !done(i) && slices.Contains(s.After, stage) {
+			return false
+		}
+	}
+	return true
+}
+
+// Rest returns the time that the request needs after a stage.
+func (p Plan) Rest(stage int) time.Duration {
+	longest := engineTime
+	for i, s := range p.Stages {
+		if p.Counts[i] == 0 || !slices.Contains(s.After, stage) {
+			continue
+		}
+		longest = max(longest, max(stageSlack, p.Wait(s.Service))+p.callTime(i)+p.Rest(i))
+	}
+	return longest
+}
+
+// callTime returns the time of a call with the pieces of a stage.
+func (p Plan) callTime(stage int) time.Duration {
+	service, ok := p.Config.Service(p.Stages[stage].Service)
+	if !ok || service.Batch == nil {
+		return 0
+	}
+	return service.Batch.CallTime + time.Duration(min(p.Counts[stage], service.Batch.Size))*service.Batch.PieceTime
+}
+
+// BytesIn returns the bytes that the pieces of a stage read; each piece reads
+// all its inputs.
+func (p Plan) BytesIn(stage int) int64 {
+	var sum int64
+	for _, a := range p.Stages[stage].After {
+		sum += int64(p.Counts[a]) * p.Stages[a].Bytes
+	}
+	return int64(p.Counts[stage]) * sum
+}
+
+// BytesOut returns the bytes that are read of the results of a stage.
+func (p Plan) BytesOut(stage int) int64 {
+	own := int64(p.Counts[stage]) * p.Stages[stage].Bytes
+	readers := 0
+	for i, s := range p.Stages {
+		if slices.Contains(s.After, stage) {
+			readers += p.Counts[i]
+		}
+	}
+	return own * int64(max(readers, 1))
+}
--- a/relay/stages.go
+++ b/relay/stages.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"slices"
 	"strings"
-	"time"
 
 	"bergamotworks/batch"
 	"bergamotworks/fault"
@@ -102,9 +100,9 @@
 
 // beginStages starts every stage that can begin, and returns their number.
 func (j *job) beginStages(ctx context.Context, begun []bool, ended chan<- stageEnd, domain string) int {
-	n := 0
+	n, p := 0, j.plan()
 	for i, stage := range j.route.Stages {
-		if begun[i] || j.counts[i] == 0 || !j.inputsReady(stage) {
+		if begun[i] || j.counts[i] == 0 || !p.Ready(i, j.done) {
 			continue
 		}
 		begun[i] = true
@@ -115,21 +113,21 @@
 	return n
 }
 
-func (j *job) inputsReady(stage site.Stage) bool {
-	for _, a := range stage.After {
-		if j.counts[a] > 0 && j.results[a] == nil {
-			return false
-		}
-	}
-	return true
+// plan returns the stages of the request as a plan.
+func (j *job) plan() batch.Plan {
+	return batch.Plan{Stages: j.route.Stages, Counts: j.counts, Config: j.config, Wait: j.server.Stages.Wait}
 }
 
+// done reports whether the pieces of a stage have been made.
+func (j *job) done(stage int) bool { return j.results[stage] != nil }
+
 // work returns the pieces of a stage as work. Domain is the failure domain of
 // the target that will have the request.
 func (j *job) work(i int, stage site.Stage, domain string) batch.Work {
+	p := j.plan()
 	w := batch.Work{
 		Service: stage.Service, Request: j.id, Stage: i, Pieces: j.counts[i], Bytes: stage.Bytes,
-		Domain: domain, Crossing: j.bytesOut(i), Rest: j.rest(i), Target: j.arrived.Add(j.route.Target), Deadline: j.stageBy, Priority: j.urgency(),
+		Domain: domain, Crossing: p.BytesOut(i), Rest: p.Rest(i), Target: j.arrived.Add(j.route.Target), Deadline: j.stageBy, Priority: j.urgency(),
 	}
 	for _, a := range stage.After {
 		w.Inputs = append(w.Inputs, j.results[a]...)
@@ -138,56 +136,12 @@
 		w.Key = j.request.Headers.Get(j.server.Names.PieceKey)
 		return w
 	}
-	if in := j.bytesIn(i); in > w.Crossing {
+	if in := p.BytesIn(i); in > w.Crossing {
 		w.Domain, w.Crossing = j.inputDomain(w.Inputs), in
 	}
 	return w
 }
 
-// The times that a request needs beyond the calls of its stages.
-const (
-	engineTime = 150 * time.Millisecond // From the last result to the answer.
-	stageSlack = 50 * time.Millisecond  // Wait of a stage's pieces on a calm day.
-)
-
-// rest returns the time that the request needs after a stage.
-func (j *job) rest(i int) time.Duration {
-	longest := engineTime
-	for c, s := range j.route.Stages {
-		if j.counts[c] == 0 || !slices.Contains(s.After, i) {
-			continue
-		}
-		own := max(stageSlack, j.server.Stages.Wait(s.Service))
-		if service, ok := j.config.Service(s.Service); ok && service.Batch != nil {
-			own += service.Batch.CallTime + time.Duration(min(j.counts[c], service.Batch.Size))*service.Batch.PieceTime
-		}
-		longest = max(longest, own+j.rest(c))
-	}
-	return longest
-}
-
-// bytesIn returns the bytes that the pieces of a stage read; each piece reads
-// all its inputs.
-func (j *job) bytesIn(i int) int64 {
-	var sum int64
-	for _, a := range j.route.Stages[i].After {
-		sum += int64(j.counts[a]) * j.route.Stages[a].Bytes
-	}
-	return int64(j.counts[i]) * sum
-}
-
-// bytesOut returns the bytes that are read of the results of a stage.
-func (j *job) bytesOut(i int) int64 {
-	own := int64(j.counts[i]) * j.route.Stages[i].Bytes
-	readers := 0
-	for c, s := range j.route.Stages {
-		if slices.Contains(s.After, i) {
-			readers += j.counts[c]
-		}
-	}
-	return own * int64(max(readers, 1))
-}
-
 // inputDomain returns the failure domain where most of the results lie. A
 // handle begins with the address of its maker.
 func (j *job) inputDomain(handles []string) string {
@@ -222,8 +176,9 @@
 
 // freeRead gives up the results that only the given stage reads.
 func (j *job) freeRead(by int) {
+	p := j.plan()
 	for _, a := range j.route.Stages[by].After {
-		if j.counts[a] == 0 || !j.allRead(a) {
+		if j.counts[a] == 0 || !p.Read(a, j.done) {
 			continue
 		}
 		j.server.Stages.Release(j.route.Stages[a].Service, j.results[a])
@@ -231,16 +186,6 @@
 	}
 }
 
-// allRead reports whether every stage that reads the results of a stage has ended.
-func (j *job) allRead(stage int) bool {
-	for i, s := range j.route.Stages {
-		if j.counts[i] > 0 && j.results[i] == nil && slices.Contains(s.After, stage) {
-			return false
-		}
-	}
-	return true
-}
-
 // inputs returns the handles of the results that the request itself reads.
 func (j *job) inputs() []string {
 	if j.results == nil {
