Begin stages with large results when the other stages need no longer than they do

Cause: the memory for results of the first service binds. A quote's large results lay there while its three other stages were made one after the other, four times as long as needed.

batch.Plan.Due holds such a stage back until the others need no longer than it does itself, with the wait of its service and for its failure domain. batch logs the waiting pieces and the memory left with each call, relay the priority with each request, which showed the above.

--- a/batch/dispatch.go
+++ b/batch/dispatch.go
@@ -141,6 +141,7 @@
 		})
 	}
 	k.running[r.id] = r
+	call.Waiting, call.Room = t.Waiting(), k.room(now, t.Limits.RoomBytes)
 	t.actions = append(t.actions, call)
 }
 
--- a/batch/perform.go
+++ b/batch/perform.go
@@ -70,7 +70,7 @@
 func (s *Service) note(c calling, took time.Duration, results []Result, err error) {
 	entry := s.Log.WithFields(logrus.Fields{
 		"service": c.gathered.name, "target": c.start.Target.ID, "pieces": len(c.start.Pieces),
-		"first": c.start.Pieces[0].Request, "ms": took.Milliseconds(),
+		"first": c.start.Pieces[0].Request, "ms": took.Milliseconds(), "waiting": c.start.Waiting, "room_bytes": c.start.Room,
 	})
 	if err != nil {
 		s.count(c.gathered.name, "failed", len(c.start.Pieces))
--- a/batch/plan.go
+++ b/batch/plan.go
@@ -33,6 +33,29 @@
 	return true
 }
 
+// Due reports whether a stage that is ready should begin. Large results take
+// scarce memory until the request itself reads them, so a stage that makes them
+// waits while the other stages need longer than it does.
+func (p Plan) Due(stage int, done func(int) bool) bool {
+	if int64(p.Counts[stage])*p.Stages[stage].Bytes < largeCrossing {
+		return true
+	}
+	own := p.Wait(p.Stages[stage].Service) + domainWait + p.callTime(stage) + p.Rest(stage)
+	return p.left(stage, done) <= own
+}
+
+// left returns the time until the stages other than the given one are done and
+// the request is answered, if those that can begin do so now.
+func (p Plan) left(but int, done func(int) bool) time.Duration {
+	var longest time.Duration
+	for i := range p.Stages {
+		if i != but && p.Counts[i] > 0 && !done(i) {
+			longest = max(longest, p.callTime(i)+p.Rest(i))
+		}
+	}
+	return longest
+}
+
 // Read reports whether every stage that reads the results of a stage is done.
 func (p Plan) Read(stage int, done func(int) bool) bool {
 	for i, s := range p.Stages {
--- a/batch/table.go
+++ b/batch/table.go
@@ -67,6 +67,10 @@
 	Run    uint64
 	Target site.Target
 	Pieces []Piece
+	// Waiting is the number of pieces that go on waiting, and Room the memory in
+	// bytes that is left at the target.
+	Waiting int
+	Room    int64
 }
 
 // Done hands the results of a group to whoever waits for them.
--- a/relay/job.go
+++ b/relay/job.go
@@ -183,7 +183,7 @@
 	j.server.counters.end(j.route.Kind, j.status, took)
 	fields := logrus.Fields{
 		"request": j.id, "route": j.route.Name, "service": j.service, "target": j.target, "sends": j.sends,
-		"status": j.status, "version": j.config.Version, "ms": took.Milliseconds(),
+		"status": j.status, "version": j.config.Version, "priority": j.urgency(), "ms": took.Milliseconds(),
 		"staged_ms": j.staged.Milliseconds(), "first_ms": j.first.Milliseconds(), "whole": j.finished,
 	}
 	if j.err != nil {
--- a/relay/stages.go
+++ b/relay/stages.go
@@ -102,7 +102,7 @@
 func (j *job) beginStages(ctx context.Context, begun []bool, ended chan<- stageEnd, domain string) int {
 	n, p := 0, j.plan()
 	for i, stage := range j.route.Stages {
-		if begun[i] || j.counts[i] == 0 || !p.Ready(i, j.done) {
+		if begun[i] || j.counts[i] == 0 || !p.Ready(i, j.done) || !p.Due(i, j.done) {
 			continue
 		}
 		begun[i] = true
