Give up results at once where work waits for memory, and without an owner that is gone

Now results leave at once at a target for whose memory work waits, and a release whose owner does not answer goes to the targets themselves. The next owner finds the memory free when it measures.

--- a/batch/dispatch.go
+++ b/batch/dispatch.go
@@ -87,6 +87,7 @@
 func (t *Table) fit(now time.Time, k *state) []*piece {
 	size := max(t.Limits.Size, 1)
 	room := k.room(now, t.Limits.RoomBytes)
+	k.short = false
 	var fitting []*piece
 	for _, g := range t.queue {
 		if t.waitsForDomain(now, g, k) {
--- a/batch/load_test.go
+++ b/batch/load_test.go
@@ -66,13 +66,14 @@
 	Work    float64 `json:"work"`   // Time for a piece as a share of the stated one; zero means 1.
 }
 
-// loadChange replaces the targets of a service, or multiplies the rate of all
-// kinds, from a time on.
+// loadChange replaces the targets of a service, or multiplies the rate of one
+// kind or all of them, from a time on.
 type loadChange struct {
 	AtS     float64  `json:"at_s"`
 	Service string   `json:"service"`
 	Targets []string `json:"targets"`
 	Rate    float64  `json:"rate"`
+	Kind    string   `json:"kind"` // Empty means all.
 }
 
 func TestLoad(t *testing.T) {
@@ -151,7 +152,7 @@
 	now      time.Duration
 	agenda   agenda
 	nextID   int
-	rate     float64
+	rates    []float64 // By kind.
 	services map[string]*loadedService
 	results  []loadResult
 	made     int
@@ -170,9 +171,12 @@
 
 func newLoadWorld(c loadCase, seed uint64) *loadWorld {
 	w := &loadWorld{
-		setup: c, random: rand.New(rand.NewPCG(seed, 7)), start: time.Unix(1000, 0), rate: 1, //nolint:gosec // Load is to repeat.
+		setup: c, random: rand.New(rand.NewPCG(seed, 7)), start: time.Unix(1000, 0), rates: make([]float64, len(c.Kinds)), //nolint:gosec // Load is to repeat.
 		services: make(map[string]*loadedService), results: make([]loadResult, len(c.Kinds)),
 	}
+	for i := range w.rates {
+		w.rates[i] = 1
+	}
 	var services []site.Service
 	for _, name := range slices.Sorted(maps.Keys(c.Services)) {
 		s := c.Services[name]
@@ -216,12 +220,14 @@
 }
 
 func (w *loadWorld) pause(kind int) time.Duration {
-	return time.Duration(w.random.ExpFloat64() / (w.rate * w.setup.Kinds[kind].PerSecond) * float64(time.Second))
+	return time.Duration(w.random.ExpFloat64() / (w.rates[kind] * w.setup.Kinds[kind].PerSecond) * float64(time.Second))
 }
 
 func (w *loadWorld) change(c loadChange) {
-	if c.Rate > 0 {
-		w.rate = c.Rate
+	for i, k := range w.setup.Kinds {
+		if c.Rate > 0 && (c.Kind == "" || c.Kind == k.Name) {
+			w.rates[i] = c.Rate
+		}
 	}
 	if c.Service != "" {
 		w.setTargets(c.Service, c.Targets)
--- a/batch/perform.go
+++ b/batch/perform.go
@@ -101,7 +101,7 @@
 // freeing gives up results at their target.
 type freeing struct {
 	service  *Service
-	gathered *gathered
+	gathered *gathered // Nil if another VM keeps the account of the memory.
 	free     Free
 }
 
@@ -114,6 +114,9 @@
 		s.Log.WithFields(logrus.Fields{"target": f.free.Target.ID, "handles": len(f.free.Handles), "error": err.Error()}).Warn("results are kept until they expire")
 		return
 	}
+	if f.gathered == nil {
+		return
+	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	f.gathered.table.Freed(s.Clock.Now(), f.free.Target.ID, f.free.Handles)
--- a/batch/service.go
+++ b/batch/service.go
@@ -283,6 +283,7 @@
 	defer s.mutex.Unlock()
 	if g := s.tables[service]; g != nil {
 		g.table.Release(list)
+		s.perform(g)
 	}
 }
 
@@ -298,7 +299,29 @@
 	ctx, cancel := context.WithTimeout(r.service.base, releaseTimeout)
 	defer cancel()
 	var answer struct{}
-	if err := r.service.Peers.Call(ctx, r.vm, MethodRelease, r.params, &answer); err != nil {
-		r.service.Log.WithFields(logrus.Fields{"peer": r.vm, "service": r.params.Service, "handles": len(r.params.Handles), "error": err.Error()}).Warn("results are kept until they expire")
+	err := r.service.Peers.Call(ctx, r.vm, MethodRelease, r.params, &answer)
+	if err == nil {
+		return
+	}
+	r.service.Log.WithFields(logrus.Fields{"peer": r.vm, "service": r.params.Service, "handles": len(r.params.Handles), "error": err.Error()}).Warn("results are given up without their owner")
+	r.service.freeAt(r.params.Handles)
+}
+
+// freeAt gives up results at their makers, since the owner of their service does
+// not answer. The next owner finds the memory free when it measures.
+func (s *Service) freeAt(list []string) {
+	directory := s.Directory()
+	byMaker := make(map[string]Free)
+	for _, h := range list {
+		g, ok := directory.At(Maker(h))
+		if !ok {
+			continue
+		}
+		f := byMaker[g.ID]
+		byMaker[g.ID] = Free{Target: g, Handles: append(f.Handles, h)}
+	}
+	for _, f := range byMaker {
+		s.running.Add(1)
+		go freeing{service: s, free: f}.run()
 	}
 }
--- a/batch/service_test.go
+++ b/batch/service_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"io"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -14,6 +16,7 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/sirupsen/logrus"
 
+	"bergamotworks/fault"
 	"bergamotworks/member"
 	"bergamotworks/ports"
 	"bergamotworks/script"
@@ -78,6 +81,7 @@
 	directory site.Directory
 	calls     []string
 	made      int
+	freed     chan string
 }
 
 func (w *serviceWorld) set(e serviceStep) {
@@ -136,7 +140,12 @@
 }
 
 // Free takes results back.
-func (w *serviceWorld) Free(context.Context, site.Target, []string) error { return nil }
+func (w *serviceWorld) Free(_ context.Context, target site.Target, list []string) error {
+	if w.freed != nil {
+		w.freed <- fmt.Sprint(target.ID, " ", strings.Join(list, " "))
+	}
+	return nil
+}
 
 // Room returns memory for many results.
 func (w *serviceWorld) Room(context.Context, site.Target) (int64, error) { return 1 << 20, nil }
@@ -176,6 +185,56 @@
 	}
 }
 
+// releaseCase gives up results while the owner of their service does not answer.
+type releaseCase struct {
+	Targets []string `json:"targets"`
+	Handles []string `json:"handles"`
+	Want    []string `json:"want"` // What each target is asked to give up, sorted.
+}
+
+func TestReleaseWithoutOwner(t *testing.T) {
+	script.Run(t, "testdata/release/*.json", func(t *testing.T, data map[string]releaseCase) {
+		for name, c := range data {
+			t.Run(name, func(t *testing.T) { testRelease(t, c) })
+		}
+	})
+}
+
+func testRelease(t *testing.T, c releaseCase) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	w := &serviceWorld{freed: make(chan string, len(c.Handles))}
+	w.set(serviceStep{Targets: c.Targets})
+	view := member.NewView(member.VM{ID: "gone", Attributes: member.Attributes{Ready: true}})
+	s := &Service{
+		Self: "vm", Config: w.currentConfig, Directory: w.currentDirectory, View: func() member.View { return view },
+		Runner: w, Peers: deadMesh{}, Clock: ports.SystemClock{}, Log: logrus.NewEntry(log), Metrics: metrics.NewSet(),
+	}
+	s.Release("svc", c.Handles)
+	var got []string
+	for range c.Want {
+		got = append(got, <-w.freed)
+	}
+	if err := s.Close(); err != nil {
+		t.Fatal(err)
+	}
+	for len(w.freed) > 0 {
+		got = append(got, <-w.freed)
+	}
+	slices.Sort(got)
+	if diff := cmp.Diff(c.Want, got); diff != "" {
+		t.Errorf("given up (-want +got):\n%s", diff)
+	}
+}
+
+// deadMesh has no node that answers.
+type deadMesh struct{}
+
+// Call fails.
+func (deadMesh) Call(_ context.Context, vm, _ string, _, _ any) error {
+	return fault.New(fault.Unavailable, fault.NotRun, "%s does not answer", vm)
+}
+
 // fakeMesh has services call each other.
 type fakeMesh map[string]*Service
 
--- a/batch/table.go
+++ b/batch/table.go
@@ -126,29 +126,37 @@
 
 // Release gives up results that have been read, also those of calls that
 // another owner made. They leave with the next tick, so that one call to a
-// target gives up the results of many requests.
+// target gives up the results of many requests, but at once if work waits for
+// the memory.
 func (t *Table) Release(handles []string) {
 	for _, h := range handles {
 		if k := t.maker(h); k != nil {
 			k.released = append(k.released, h)
 		}
 	}
+	t.flush(func(k *state) bool { return k.short })
 }
 
-// flush asks to give up what has been released.
-func (t *Table) flush() {
+// flush asks to give up what has been released at some targets.
+func (t *Table) flush(wanted func(*state) bool) {
 	for _, k := range t.targets {
-		if len(k.released) > 0 {
+		if len(k.released) > 0 && wanted(k) {
 			t.actions = append(t.actions, Free{Target: k.target, Handles: k.released})
 			k.released = nil
 		}
 	}
 }
 
-// maker returns the target that holds a result, or nil. A handle begins with
-// the address of its maker.
-func (t *Table) maker(handle string) *state {
+// Maker returns the address of the target that made a result. A handle begins
+// with it.
+func Maker(handle string) string {
 	address, _, _ := strings.Cut(handle, "/")
+	return address
+}
+
+// maker returns the target that holds a result, or nil.
+func (t *Table) maker(handle string) *state {
+	address := Maker(handle)
 	for _, k := range t.targets {
 		if k.target.Address == address {
 			return k
@@ -193,7 +201,7 @@
 
 // Tick drops what cannot end any more and starts what has become possible.
 func (t *Table) Tick(now time.Time) {
-	t.flush()
+	t.flush(func(*state) bool { return true })
 	t.measureAgain(now)
 	for _, g := range t.groups {
 		hopeless := len(g.waiting) > 0 && now.Add(t.callTime(g.work.Pieces)+g.work.Rest).After(g.work.Deadline)
--- a/batch/table_test.go
+++ b/batch/table_test.go
@@ -43,6 +43,8 @@
 	Submit  *workSpec `json:"submit"`
 	Ended   *endSpec  `json:"ended"`
 	Release []string  `json:"release"`
+	// Read releases results without a tick after it.
+	Read    []string  `json:"read"`
 	Freed   *freeSpec `json:"freed"`
 	Measure *freeSpec `json:"measured"`
 	Cancel  uint64    `json:"cancel"`
@@ -124,6 +126,8 @@
 	case s.Release != nil:
 		table.Release(s.Release)
 		table.Tick(now)
+	case s.Read != nil:
+		table.Release(s.Read)
 	case s.Freed != nil:
 		table.Freed(now, s.Freed.Target, s.Freed.Handles)
 	case s.Measure != nil:
--- a/batch/target.go
+++ b/batch/target.go
@@ -22,7 +22,7 @@
 	foreign      int64
 	foreignUntil time.Time
 	measuredAt   time.Time
-	short        bool // Work was left out for want of memory since the last measurement.
+	short        bool // Work was left out for want of memory when a call was last looked for.
 }
 
 // result is memory that is taken at a target.
@@ -86,7 +86,7 @@
 	}
 	known := k.used(now) - k.usedSince(now.Add(-reportLag))
 	k.foreign = max(0, limits.RoomBytes-free-known)
-	k.measuredAt, k.short = now, false
+	k.measuredAt = now
 }
 
 // outdated reports whether work waits for memory that results of another VM's
--- a/relay/stages.go
+++ b/relay/stages.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strings"
 
 	"bergamotworks/batch"
 	"bergamotworks/fault"
@@ -142,15 +141,13 @@
 	return w
 }
 
-// inputDomain returns the failure domain where most of the results lie. A
-// handle begins with the address of its maker.
+// inputDomain returns the failure domain where most of the results lie.
 func (j *job) inputDomain(handles []string) string {
 	directory := j.server.Directory()
 	counts := make(map[string]int)
 	best := ""
 	for _, h := range handles {
-		address, _, _ := strings.Cut(h, "/")
-		g, ok := directory.At(address)
+		g, ok := directory.At(batch.Maker(h))
 		if !ok {
 			continue
 		}
