Give results up with the first event also of streams that may be resumed

The results of a stream that may be resumed lay there until the stream's end, for the rare case that it breaks off.

They leave with the first event now, like all others; a stream that goes on at another target has its stages made again. staged_resumed failed first: the pieces were made once.

--- a/relay/answer.go
+++ b/relay/answer.go
@@ -130,9 +130,7 @@
 	j.begun = true
 	j.first = j.server.Clock.Now().Sub(j.arrived)
 	j.writeHead(a, wire.Header{Name: "Transfer-Encoding", Value: "chunked"})
-	if !j.route.Resumable {
-		j.free()
-	}
+	j.free()
 }
 
 // endEvents marks the stream as whole.
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -57,6 +57,9 @@
 		if !j.mayRepeat() {
 			return j.outOfBudget(open)
 		}
+		if err := j.restage(ctx); err != nil {
+			return err
+		}
 		tried = append(tried, g.ID)
 		err := j.send(ctx, g, runs+1 < max(1, j.route.Attempts))
 		if err == nil {
--- a/relay/stages.go
+++ b/relay/stages.go
@@ -57,6 +57,15 @@
 	return nil
 }
 
+// restage has the stages made again for a stream that goes on at another target.
+// Their results were given up with its first event.
+func (j *job) restage(ctx context.Context) error {
+	if !j.begun || j.results != nil {
+		return nil
+	}
+	return j.runStages(ctx)
+}
+
 func (j *job) makeStages(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
