Send work to the next owner as soon as the membership knows the last one gone

Calls to a VM that is known gone end at once now; the work goes to the next owner. TestOwnerGone (virtual time) failed first: the work waited for ever, as its mesh never notices. member logs each change of a VM's state and of the trust in the own membership, which were missing; work that is submitted again and again is logged once for each cause and not every 100 ms.

Ruled out: a shorter suspicion. The time in which a VM must be confirmed is derived from it, and one lost probe would stop the work of a healthy owner.

--- a/batch/service.go
+++ b/batch/service.go
@@ -57,6 +57,7 @@
 	mutex   sync.Mutex
 	tables  map[string]*gathered
 	waits   map[string]toldWait
+	sent    map[*sent]struct{}
 	doubted time.Time // Time since which the membership is in doubt; zero if it is not.
 	begun   time.Time // Start of the run.
 	version uint64    // Of the membership.
@@ -103,6 +104,7 @@
 func (s *Service) init() {
 	s.tables = make(map[string]*gathered)
 	s.waits = make(map[string]toldWait)
+	s.sent = make(map[*sent]struct{})
 	s.base, s.stop = context.WithCancel(context.Background())
 }
 
@@ -245,6 +247,7 @@
 	if v := s.View().Version; v != s.version {
 		s.version, s.moved = v, now
 	}
+	s.recall()
 	for _, g := range s.tables {
 		s.refresh(g)
 		if vm, ok := s.View().Owner(ownerPrefix + g.name); ok && vm.ID != s.Self && len(g.waiters) > 0 {
--- a/batch/service_test.go
+++ b/batch/service_test.go
@@ -253,6 +253,56 @@
 
 func (r serviceRun) run(ctx context.Context) { r.done <- r.service.Run(ctx) }
 
+// silentMesh has nodes that never answer.
+type silentMesh struct{}
+
+// Call waits until nobody waits for the answer.
+func (silentMesh) Call(ctx context.Context, vm, _ string, _, _ any) error {
+	<-ctx.Done()
+	return fault.New(fault.Canceled, fault.MayHaveRun, "%s does not answer", vm)
+}
+
+// TestOwnerGone has the owner of a service lose power while it gathers work.
+func TestOwnerGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &serviceWorld{}
+		w.set(serviceStep{Targets: []string{"a"}})
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		const noticed = 900 * time.Millisecond
+		began := time.Now()
+		view := func() member.View {
+			other := member.VM{ID: "other", Attributes: member.Attributes{Ready: true}}
+			if time.Since(began) >= noticed {
+				other.State = member.Dead
+			}
+			return member.NewView(other)
+		}
+		s := &Service{
+			Self: "vm", Config: w.currentConfig, Directory: w.currentDirectory, View: view,
+			Runner: w, Peers: silentMesh{}, Clock: ports.SystemClock{}, Log: logrus.NewEntry(log), Metrics: metrics.NewSet(),
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		r := serviceRun{service: s, done: done}
+		go r.run(ctx)
+		work := Work{Service: "svc", Request: "r", Pieces: 1, Target: began.Add(time.Minute), Deadline: began.Add(time.Minute)}
+		if _, err := s.Do(ctx, work); err != nil {
+			t.Fatal(err)
+		}
+		if took := time.Since(began); took > noticed+tickInterval+2*resubmitWait {
+			t.Errorf("work waited for %s", took)
+		}
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+		if err := s.Close(); err != nil {
+			t.Error(err)
+		}
+	})
+}
+
 // TestDoubtIsBounded has a VM that has just started and knows no other one wait
 // no longer than for a membership in doubt.
 func TestDoubtIsBounded(t *testing.T) {
--- a/batch/submit.go
+++ b/batch/submit.go
@@ -17,12 +17,16 @@
 // and returns their handles in order.
 func (s *Service) Do(ctx context.Context, w Work) ([]string, error) {
 	s.once.Do(s.init)
+	logged := ""
 	for {
 		made, err := s.submitOnce(ctx, w)
 		if err == nil || !passing(err) {
 			return made, err
 		}
-		s.Log.WithFields(logrus.Fields{"request": w.Request, "service": w.Service, "error": err.Error()}).Info("pieces go to the owner again")
+		if text := err.Error(); text != logged {
+			s.Log.WithFields(logrus.Fields{"request": w.Request, "service": w.Service, "error": text}).Info("pieces go to the owner again")
+			logged = text
+		}
 		select {
 		case <-ctx.Done():
 			return nil, fault.New(fault.DeadlineExceeded, fault.NotRun, "%s: %s", w.Service, err)
@@ -62,7 +66,7 @@
 		now := s.Clock.Now()
 		params := submission{Work: w, TargetLeft: w.Target.Sub(now), DeadlineLeft: w.Deadline.Sub(now)}
 		var answer handles
-		if err := s.Peers.Call(ctx, vm, MethodSubmit, params, &answer); err != nil {
+		if err := s.call(ctx, vm, params, &answer); err != nil {
 			if e := fault.From(err); e.Kind == fault.Busy {
 				s.told(w.Service, e.RetryAfter)
 			}
--- a/member/service.go
+++ b/member/service.go
@@ -248,10 +248,14 @@
 }
 
 func (s *Service) publish(a Publish) {
-	s.current.Store(&a.View)
+	old := s.current.Swap(&a.View)
 	if !a.Members {
 		return
 	}
+	if old == nil {
+		old = &View{Self: s.Self, Doubt: true}
+	}
+	s.report(*old, a.View)
 	s.mutex.Lock()
 	subscribers := s.subscribers
 	s.mutex.Unlock()
