Plan work to end a margin before its latency target

Cause: under load every request ended just after its target.

Work counts as late now if it cannot end 1.25 full calls before its target, and 250 ms are allowed for the answer. In time work goes by the latest time at which it can begin and not by its target alone.

--- a/batch/order.go
+++ b/batch/order.go
@@ -13,6 +13,8 @@
 const (
 	// unknownWait is the forecast for a service without targets.
 	unknownWait = time.Second
+	// marginCalls is the margin to the latency target, in full calls.
+	marginCalls = 1.25
 	// begunShare and freshShare are the parts of the time to its deadline that
 	// late work may have ahead of it when it is entered. Work that reads results
 	// would waste them.
@@ -28,7 +30,14 @@
 
 // late reports whether work that is started now misses its latency target.
 func (t *Table) late(now time.Time, w Work) bool {
-	return now.Add(t.callTime(w.Pieces) + w.Rest).After(w.Target)
+	return now.Add(t.callTime(w.Pieces) + w.Rest + t.margin()).After(w.Target)
+}
+
+// margin returns the time by which work is planned to end before its latency
+// target. A piece that just misses a call waits for a whole one, here or at a
+// later stage; without it every request is done a little too late under load.
+func (t *Table) margin() time.Duration {
+	return time.Duration(marginCalls * float64(t.callTime(max(t.Limits.Size, 1))))
 }
 
 // begun reports whether pieces of a group have been sent. Their results take
@@ -56,7 +65,7 @@
 	}
 	return cmp.Or(
 		cmp.Compare(a.work.Priority, b.work.Priority),
-		a.work.Target.Compare(b.work.Target),
+		a.work.Target.Add(-a.work.Rest).Compare(b.work.Target.Add(-b.work.Rest)),
 		cmp.Compare(a.id, b.id),
 	)
 }
@@ -85,7 +94,7 @@
 	}
 	needed := t.callTime(w.Pieces) + w.Rest
 	wait := t.clearTime(before, usable)
-	if end := now.Add(wait + needed); !end.After(w.Target) && !end.After(w.Deadline) {
+	if end := now.Add(wait + needed + t.margin()); !end.After(w.Target) && !end.After(w.Deadline) {
 		return wait, true
 	}
 	wait = t.clearTime(all, usable)
--- a/batch/plan.go
+++ b/batch/plan.go
@@ -9,7 +9,7 @@
 
 // The times that a request needs beyond the calls of its stages.
 const (
-	engineTime = 150 * time.Millisecond // From the last result to the answer.
+	engineTime = 250 * time.Millisecond // From the last result to the answer.
 	stageSlack = 50 * time.Millisecond  // Wait of a stage's pieces on a calm day.
 )
 
