--- a/member/report.go
+++ b/member/report.go
@@ -9,12 +9,18 @@
 	if s.Log == nil {
 		return
 	}
+	found := 0
 	for _, m := range now.Members() {
 		before, known := old.Find(m.ID)
-		if known && before.State == m.State && before.Incarnation == m.Incarnation && before.Attributes.Ready == m.Attributes.Ready {
-			continue
+		switch {
+		case !known:
+			found++
+		case before.State != m.State || before.Incarnation != m.Incarnation:
+			s.reportVM(before, m)
 		}
-		s.reportVM(before, known, m)
+	}
+	if found > 0 {
+		s.Log.WithFields(logrus.Fields{"found": found, "known": len(now.Members()), "version": now.Version}).Info("members found")
 	}
 	if old.Doubt != now.Doubt || old.CutOff != now.CutOff {
 		s.Log.WithFields(logrus.Fields{"doubt": now.Doubt, "cut_off": now.CutOff, "epoch": now.Epoch, "version": now.Version}).Info("trust in own membership changed")
@@ -22,11 +28,8 @@
 }
 
 // reportVM logs what a VM has become.
-func (s *Service) reportVM(before VM, known bool, m VM) {
-	fields := logrus.Fields{"vm": m.ID, "state": m.State.String(), "incarnation": m.Incarnation, "ready": m.Attributes.Ready}
-	if known {
-		fields["before"] = before.State.String()
-	}
+func (s *Service) reportVM(before, m VM) {
+	fields := logrus.Fields{"vm": m.ID, "before": before.State.String(), "state": m.State.String(), "incarnation": m.Incarnation, "ready": m.Attributes.Ready}
 	if !m.Heard.IsZero() {
 		fields["heard_ms"] = s.Clock.Now().Sub(m.Heard).Milliseconds()
 	}
--- a/news/service.go
+++ b/news/service.go
@@ -22,7 +22,9 @@
 const (
 	readInterval   = 1050 * time.Millisecond // Between two readings of the directory.
 	failedInterval = 300 * time.Millisecond  // Between two tries while the store does not answer.
-	readTimeout    = 800 * time.Millisecond
+	// fleetTryInterval is the time between two such tries of the whole fleet.
+	fleetTryInterval = 50 * time.Millisecond
+	readTimeout      = 800 * time.Millisecond
 	// watchTime bounds the time for which a connection that fell silent hides
 	// what operators write.
 	watchTime  = 2 * time.Second
@@ -183,8 +185,8 @@
 	if listens && s.listen(ctx) {
 		return listenInterval
 	}
-	if listens && s.Clock.Now().Sub(s.tried) < readInterval {
-		return failedInterval // A whole fleet would flood a store that comes back.
+	if listens && s.Clock.Now().Sub(s.tried) < s.tryInterval() {
+		return failedInterval
 	}
 	if s.readDirectory(ctx) == nil {
 		return readInterval
@@ -194,6 +196,13 @@
 	return failedInterval
 }
 
+// tryInterval returns the time between two tries of a VM that relies on others
+// while none of them reads the store. A whole fleet would flood a store that
+// comes back.
+func (s *Service) tryInterval() time.Duration {
+	return max(readInterval, time.Duration(len(s.View().Live()))*fleetTryInterval)
+}
+
 // rest waits for the next reading and drops entries meanwhile that are kept no
 // longer.
 func (s *Service) rest(ctx context.Context, wait time.Duration) bool {
