--- a/batch/load_test.go
+++ b/batch/load_test.go
@@ -184,7 +184,7 @@
 
 func newLoadWorld(c loadCase, seed uint64) *loadWorld {
 	w := &loadWorld{
-		setup: c, random: rand.New(rand.NewPCG(seed, 7)), start: time.Unix(1000, 0), rates: make([]float64, len(c.Kinds)), //nolint:gosec // Load is to repeat.
+		setup: c, random: rand.New(rand.NewPCG(seed, 7)), start: time.Unix(1000, 0), rates: make([]float64, len(c.Kinds)),
 		services: make(map[string]*loadedService), results: make([]loadResult, len(c.Kinds)),
 	}
 	for i := range w.rates {
--- a/batch/service_test.go
+++ b/batch/service_test.go
@@ -253,6 +253,23 @@
 
 func (r serviceRun) run(ctx context.Context) { r.done <- r.service.Run(ctx) }
 
+// runService runs a service until the returned function is called.
+func runService(t *testing.T, s *Service) (context.Context, func()) {
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	r := serviceRun{service: s, done: done}
+	go r.run(ctx)
+	return ctx, func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+		if err := s.Close(); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
 // silentMesh has nodes that never answer.
 type silentMesh struct{}
 
@@ -282,10 +299,7 @@
 			Self: "vm", Config: w.currentConfig, Directory: w.currentDirectory, View: view,
 			Runner: w, Peers: silentMesh{}, Clock: ports.SystemClock{}, Log: logrus.NewEntry(log), Metrics: metrics.NewSet(),
 		}
-		ctx, cancel := context.WithCancel(t.Context())
-		done := make(chan error, 1)
-		r := serviceRun{service: s, done: done}
-		go r.run(ctx)
+		ctx, stop := runService(t, s)
 		work := Work{Service: "svc", Request: "r", Pieces: 1, Target: began.Add(time.Minute), Deadline: began.Add(time.Minute)}
 		if _, err := s.Do(ctx, work); err != nil {
 			t.Fatal(err)
@@ -293,13 +307,7 @@
 		if took := time.Since(began); took > noticed+tickInterval+2*resubmitWait {
 			t.Errorf("work waited for %s", took)
 		}
-		cancel()
-		if err := <-done; err != nil {
-			t.Error(err)
-		}
-		if err := s.Close(); err != nil {
-			t.Error(err)
-		}
+		stop()
 	})
 }
 
@@ -317,10 +325,7 @@
 			Self: "vm", Config: w.currentConfig, Directory: w.currentDirectory, View: view,
 			Runner: w, Clock: ports.SystemClock{}, Log: logrus.NewEntry(log), Metrics: metrics.NewSet(),
 		}
-		ctx, cancel := context.WithCancel(t.Context())
-		done := make(chan error, 1)
-		r := serviceRun{service: s, done: done}
-		go r.run(ctx)
+		ctx, stop := runService(t, s)
 		version.Store(2)
 		time.Sleep(tickInterval + time.Millisecond) // In virtual time: the change has just been seen.
 		began := time.Now()
@@ -331,12 +336,6 @@
 		if took := time.Since(began); took > doubtTime+2*resubmitWait {
 			t.Errorf("work waited for %s", took)
 		}
-		cancel()
-		if err := <-done; err != nil {
-			t.Error(err)
-		}
-		if err := s.Close(); err != nil {
-			t.Error(err)
-		}
+		stop()
 	})
 }
--- a/batch/table.go
+++ b/batch/table.go
@@ -134,19 +134,22 @@
 			k.released = append(k.released, h)
 		}
 	}
-	t.flush(func(k *state) bool { return k.short })
-}
-
-// flush asks to give up what has been released at some targets.
-func (t *Table) flush(wanted func(*state) bool) {
 	for _, k := range t.targets {
-		if len(k.released) > 0 && wanted(k) {
-			t.actions = append(t.actions, Free{Target: k.target, Handles: k.released})
-			k.released = nil
+		if k.short {
+			t.giveUp(k)
 		}
 	}
 }
 
+// giveUp asks a target to give up what has been released.
+func (t *Table) giveUp(k *state) {
+	if len(k.released) == 0 {
+		return
+	}
+	t.actions = append(t.actions, Free{Target: k.target, Handles: k.released})
+	k.released = nil
+}
+
 // Maker returns the address of the target that made a result. A handle begins
 // with it.
 func Maker(handle string) string {
@@ -201,7 +204,9 @@
 
 // Tick drops what cannot end any more and starts what has become possible.
 func (t *Table) Tick(now time.Time) {
-	t.flush(func(*state) bool { return true })
+	for _, k := range t.targets {
+		t.giveUp(k)
+	}
 	t.measureAgain(now)
 	for _, g := range t.groups {
 		hopeless := len(g.waiting) > 0 && now.Add(t.callTime(g.work.Pieces)+g.work.Rest).After(g.work.Deadline)
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -54,10 +54,7 @@
 			}
 			return j.noTarget(open)
 		}
-		if !j.mayRepeat() {
-			return j.outOfBudget(open)
-		}
-		if err := j.restage(ctx); err != nil {
+		if err := j.readySend(ctx, open); err != nil {
 			return err
 		}
 		tried = append(tried, g.ID)
@@ -86,6 +83,15 @@
 	}
 }
 
+// readySend takes the next send out of the budget and sees to the results that it
+// needs. Open is the last failure after which the request may have run.
+func (j *job) readySend(ctx context.Context, open error) error {
+	if !j.mayRepeat() {
+		return j.outOfBudget(open)
+	}
+	return j.restage(ctx)
+}
+
 // mayRepeat takes a send beyond the first out of the budget.
 func (j *job) mayRepeat() bool {
 	if j.sends == 0 || j.prepaid {
