Send work to the next owner after 10 ms

Work goes to the next owner after 10 ms now, and after 100 ms if that one sends it on. Ruled out: a shorter pause throughout; two VMs whose views differ would send work to and fro.

--- a/batch/service.go
+++ b/batch/service.go
@@ -23,7 +23,8 @@
 
 const (
 	tickInterval   = 50 * time.Millisecond
-	resubmitWait   = 100 * time.Millisecond // Pause before work goes to the owner again.
+	firstWait      = 10 * time.Millisecond  // Pause before work goes to the next owner.
+	resubmitWait   = 100 * time.Millisecond // Pause before it is submitted once more.
 	releaseTimeout = 500 * time.Millisecond
 	callSlack      = 2 * time.Second // Time that a call may take beyond the usual.
 	ownerPrefix    = "batch/"
--- a/batch/submit.go
+++ b/batch/submit.go
@@ -17,7 +17,7 @@
 // and returns their handles in order.
 func (s *Service) Do(ctx context.Context, w Work) ([]string, error) {
 	s.once.Do(s.init)
-	logged := ""
+	logged, wait := "", firstWait
 	for {
 		made, err := s.submitOnce(ctx, w)
 		if err == nil || !passing(err) {
@@ -30,7 +30,8 @@
 		select {
 		case <-ctx.Done():
 			return nil, fault.New(fault.DeadlineExceeded, fault.NotRun, "%s: %s", w.Service, err)
-		case <-s.Clock.After(resubmitWait):
+		case <-s.Clock.After(wait):
+			wait = resubmitWait
 		}
 	}
 }
