Count the time for the balancer from the signal of a planned stop

A VM got SIGTERM at 3.5 s, took a request at 6.54 s on a kept connection and cut its stream at 11.05 s, when its time was over. Idle connections were to close 2.2 s after the signal; the second in which the stop is announced to the other VMs came on top, so that requests were taken for 3.2 s.

TestStop measures stops in virtual time and failed first: 3,200 ms for 2,200, 1,300 ms where the announcement takes longest.

--- a/serve/node.go
+++ b/serve/node.go
@@ -99,7 +99,7 @@
 		n.Log.WithField("error", err.Error()).Warn("leaving not announced")
 	}
 	n.batch.Leave()
-	n.sleep(ctx, n.current().BalancerWait)
+	n.sleep(ctx, begun.Add(n.current().BalancerWait).Sub(n.Clock.Now()))
 	n.relay.Drain()
 	n.finish(ctx, begun.Add(n.current().StopTime-endReserve))
 	return n.close()
