--- a/news/service.go
+++ b/news/service.go
@@ -22,7 +22,8 @@
 const (
 	readInterval   = 1050 * time.Millisecond // Between two readings of the directory.
 	failedInterval = 300 * time.Millisecond  // Between two tries while the store does not answer.
-	// fleetTryInterval is the time between two such tries of the whole fleet.
+	// fleetTryInterval is the time between two tries, of all VMs together, while
+	// none of those that they rely on reads the store.
 	fleetTryInterval = 50 * time.Millisecond
 	readTimeout      = 800 * time.Millisecond
 	// watchTime bounds the time for which a connection that fell silent hides
