news: log and measure how old a node's operator state is

Callers were answered by configurations older than the bound allows, and the logs could not tell why: a failed fetch from a store reader, the refusal of an old state and a watch that was given up left no line, and only the directory had an age. Each node now knows until when the store is known to have held its operator state (configuration and drained failure domains), passes that on as operator_age_ns and logs it with each of these events; two gauges, three counters and a histogram hold the same. No decision uses the new age yet.

--- a/news/fetch.go
+++ b/news/fetch.go
@@ -4,8 +4,6 @@
 	"context"
 	"slices"
 
-	"github.com/sirupsen/logrus"
-
 	"bergamotworks/fault"
 	"bergamotworks/member"
 	"bergamotworks/site"
@@ -14,9 +12,7 @@
 // fetchFromPeers fetches newer state from some live nodes.
 func (s *Service) fetchFromPeers(ctx context.Context) {
 	for _, vm := range s.randomPeers(s.View().Live()) {
-		if _, err := s.fetch(ctx, vm); err != nil {
-			s.Log.WithFields(logrus.Fields{"peer": vm, "error": err.Error()}).Info("failed to fetch state from a peer")
-		}
+		_, _ = s.fetch(ctx, vm) // It logs its error; the next attempt follows soon.
 	}
 }
 
@@ -41,10 +37,14 @@
 	local := s.state.revisions()
 	s.mutex.Unlock()
 	var u update
-	if err := s.Peers.Call(callCtx, vm, MethodFetch, local, &u); err != nil {
+	sent := s.Clock.Now()
+	err := s.Peers.Call(callCtx, vm, MethodFetch, local, &u)
+	s.recordFetch(ctx, vm, s.Clock.Now().Sub(sent), err)
+	if err != nil {
 		return update{}, err
 	}
 	s.apply(vm, u)
+	s.confirmOperatorState(sent.Add(-u.OperatorAge))
 	return u, nil
 }
 
@@ -74,7 +74,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	now := s.Clock.Now()
-	u := update{Now: now, Age: now.Sub(s.lastStoreRead), GraceRemaining: s.state.GraceRemaining(now)}
+	u := update{Now: now, Age: now.Sub(s.lastStoreRead), OperatorAge: now.Sub(s.operatorsAsOf), GraceRemaining: s.state.GraceRemaining(now)}
 	if c := s.state.Config(); c.Loaded() && c.Revision > remote.ConfigRevision {
 		u.Config = &c
 	}
--- a/news/reader.go
+++ b/news/reader.go
@@ -45,7 +45,11 @@
 // recent.
 func (s *Service) fetchFromReader(ctx context.Context, vm string) bool {
 	u, err := s.fetch(ctx, vm)
-	if err != nil || u.Age > maxStateAge {
+	if err != nil {
+		return false
+	}
+	if u.Age > maxStateAge {
+		s.logOldState(vm, u)
 		return false
 	}
 	s.mutex.Lock()
--- a/news/service.go
+++ b/news/service.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
 	"sync"
 	"time"
 
@@ -74,6 +72,9 @@
 	mutex         sync.Mutex
 	state         State
 	lastStoreRead time.Time // Last successful read, by this node or by the store reader that it fetched from.
+	// operatorsAsOf is the latest time at which the store is known to have held
+	// the operator state of this node. It may be zero.
+	operatorsAsOf time.Time
 	lastReadError time.Time // Last failed read of the directory; used by loopDirectory only.
 }
 
@@ -96,12 +97,16 @@
 	// Age is the time since the read of the store that the sender's state comes
 	// from.
 	Age time.Duration `json:"age_ns"`
+	// OperatorAge is the time since the store is known to have held the sender's
+	// operator state.
+	OperatorAge time.Duration `json:"operator_age_ns"`
 	// GraceRemaining is how long the sender still retains expired entries.
 	GraceRemaining time.Duration `json:"keep_ns,omitempty"`
 }
 
 // Run follows the store until the context is canceled.
 func (s *Service) Run(ctx context.Context) error {
+	s.registerGauges()
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return s.loopOperatorState(ctx) })
 	group.Go(func() error { return s.loopDirectory(ctx) })
@@ -131,6 +136,24 @@
 	return s.Clock.Now().Sub(s.lastStoreRead)
 }
 
+// OperatorStateAge returns the time since the store is known to have held the
+// operator state of this node. Before the first read it is the maximum duration.
+func (s *Service) OperatorStateAge() time.Duration {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.Clock.Now().Sub(s.operatorsAsOf)
+}
+
+// confirmOperatorState records that the store held the operator state of this
+// node, or an older one, at the given time.
+func (s *Service) confirmOperatorState(asOf time.Time) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if asOf.After(s.operatorsAsOf) {
+		s.operatorsAsOf = asOf
+	}
+}
+
 // loopOperatorState reads and watches what operators write while this VM reads
 // the store itself.
 func (s *Service) loopOperatorState(ctx context.Context) error {
@@ -147,7 +170,7 @@
 		if revision == 0 {
 			revision, err = s.readOperatorState(ctx)
 		} else {
-			revision, err = s.Source.WaitForChange(ctx, revision, watchTimeout)
+			revision, err = s.watchOperatorState(ctx, revision)
 		}
 		if err == nil {
 			continue
@@ -160,14 +183,32 @@
 	return nil
 }
 
+// watchOperatorState waits for a change after a revision, and returns what
+// Source.WaitForChange returns.
+func (s *Service) watchOperatorState(ctx context.Context, revision int64) (int64, error) {
+	sent := s.Clock.Now()
+	next, err := s.Source.WaitForChange(ctx, revision, watchTimeout)
+	took := s.Clock.Now().Sub(sent)
+	if err != nil {
+		s.recordWatchError(ctx, took, err)
+		return 0, err
+	}
+	if next != 0 && took >= watchTimeout {
+		s.confirmOperatorState(sent.Add(watchTimeout))
+	}
+	return next, nil
+}
+
 func (s *Service) readOperatorState(ctx context.Context) (int64, error) {
 	callCtx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
+	sent := s.Clock.Now()
 	o, err := s.Source.OperatorState(callCtx)
 	if err != nil {
 		s.recordReadError(ctx, "configuration", err)
 		return 0, err
 	}
+	defer s.confirmOperatorState(sent)
 	s.mutex.Lock()
 	change := s.state.ApplyStore(s.Clock.Now(), Snapshot{
 		Config: o.Config, DrainedDomains: &DrainedDomains{Domains: o.DrainedDomains, Revision: o.Revision},
@@ -261,38 +302,3 @@
 		return true
 	}
 }
-
-// recordReadError records and logs a failed read of the store.
-func (s *Service) recordReadError(ctx context.Context, subject string, err error) {
-	if ctx.Err() != nil {
-		return
-	}
-	s.mutex.Lock()
-	s.state.StoreReadFailed()
-	age := s.Clock.Now().Sub(s.lastStoreRead)
-	s.mutex.Unlock()
-	s.Metrics.GetOrCreateCounter("news_failed_reads_total").Inc()
-	s.Log.WithFields(logrus.Fields{"what": subject, "silent_ms": age.Milliseconds(), "error": err.Error()}).Warn("failed to read the store")
-}
-
-// logChange logs what a merge has changed. From is "store", the ID of the VM
-// that sent the state, or "time" if the grace period has ended.
-func (s *Service) logChange(c Change, from string) {
-	if c.Config {
-		config := s.Config()
-		s.Log.WithFields(logrus.Fields{"version": config.Revision, "routes": len(config.Routes), "accounts": len(config.Accounts), "from": from}).Info("configuration became active")
-	}
-	if c.DrainedDomains {
-		d := s.Directory()
-		s.Log.WithFields(logrus.Fields{"domains": slices.Sorted(maps.Keys(d.DrainedDomains)), "revision": d.Revision, "from": from}).Info("drained failure domains changed")
-	}
-	if len(c.Added)+len(c.Removed) > 0 {
-		s.Log.WithFields(logrus.Fields{"joined": firstIDs(c.Added), "left": firstIDs(c.Removed), "revision": s.Directory().Revision, "from": from}).Info("targets changed")
-	}
-}
-
-// maxLoggedIDs limits the identifiers in one log entry.
-const maxLoggedIDs = 8
-
-// firstIDs returns at most maxLoggedIDs identifiers.
-func firstIDs(ids []string) []string { return ids[:min(len(ids), maxLoggedIDs)] }
