news: read the operator state, too, when no store reader responds

Callers got 404 for a route that had been confirmed 3.2 s before, by a VM that ran and reached the store. Cause: a VM that reaches no store reader read the directory of targets from the store and then counted as refreshed; the configuration and the drained failure domains came from store readers only, until the membership had noticed their loss up to 4 s later. The same refresh now reads both, one after the other, so that an outage of the store costs no further calls.

--- a/news/service.go
+++ b/news/service.go
@@ -75,7 +75,7 @@
 	// operatorsAsOf is the latest time at which the store is known to have held
 	// the operator state of this node. It may be zero.
 	operatorsAsOf time.Time
-	lastReadError time.Time // Last failed read of the directory; used by loopDirectory only.
+	lastReadError time.Time // Last failed read by loopRefresh, which alone uses it.
 }
 
 // revisions are the revisions that a node has, zero for a part that it lacks;
@@ -109,7 +109,7 @@
 	s.registerGauges()
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return s.loopOperatorState(ctx) })
-	group.Go(func() error { return s.loopDirectory(ctx) })
+	group.Go(func() error { return s.loopRefresh(ctx) })
 	return group.Wait()
 }
 
@@ -218,19 +218,18 @@
 	return o.Revision, nil
 }
 
-// loopDirectory refreshes the directory periodically.
-func (s *Service) loopDirectory(ctx context.Context) error {
+// loopRefresh refreshes the state periodically.
+func (s *Service) loopRefresh(ctx context.Context) error {
 	for {
-		if !s.waitNextRead(ctx, s.refreshDirectory(ctx)) {
+		if !s.waitNextRefresh(ctx, s.refresh(ctx)) {
 			return nil
 		}
 	}
 }
 
-// refreshDirectory refreshes the directory once, from a store reader, from the
-// store or, if that fails, from other nodes. It returns the time until the next
-// refresh.
-func (s *Service) refreshDirectory(ctx context.Context) time.Duration {
+// refresh refreshes the state once, from a store reader, from the store or, if
+// that fails, from other nodes. It returns the time until the next refresh.
+func (s *Service) refresh(ctx context.Context) time.Duration {
 	useReaders := !s.readsStore()
 	if useReaders && s.fetchFromReaders(ctx) {
 		return fetchInterval
@@ -238,7 +237,7 @@
 	if useReaders && s.Clock.Now().Sub(s.lastReadError) < s.fallbackInterval() {
 		return retryInterval
 	}
-	if s.readDirectory(ctx) == nil {
+	if s.readStore(ctx, useReaders) == nil {
 		return readInterval
 	}
 	s.lastReadError = s.Clock.Now()
@@ -246,6 +245,16 @@
 	return retryInterval
 }
 
+// readStore reads the directory from the store, and the operator state if no
+// watch follows it.
+func (s *Service) readStore(ctx context.Context, unwatched bool) error {
+	if err := s.readDirectory(ctx); err != nil || !unwatched {
+		return err
+	}
+	_, err := s.readOperatorState(ctx)
+	return err
+}
+
 // fallbackInterval returns the time between two attempts of a VM that is no
 // store reader to read the store while no store reader can. It grows with the
 // fleet, which would otherwise overload a store that recovers.
@@ -253,9 +262,9 @@
 	return max(readInterval, time.Duration(len(s.View().Live()))*fleetRetryInterval)
 }
 
-// waitNextRead waits until the next refresh and drops retained entries when
+// waitNextRefresh waits until the next refresh and drops retained entries when
 // their grace period ends. It reports false if the context was canceled.
-func (s *Service) waitNextRead(ctx context.Context, wait time.Duration) bool {
+func (s *Service) waitNextRefresh(ctx context.Context, wait time.Duration) bool {
 	s.mutex.Lock()
 	grace := s.state.GraceRemaining(s.Clock.Now())
 	s.mutex.Unlock()
