news: give the operator state an age of its own

Callers were answered by an old configuration although the VM had refreshed its state in time. Cause: state counted as recent by the age of the sender's read of the directory. A store reader whose watch hangs (given up after 2.5 s and retried after 0.3 s), whose reads of the operator state fail or that has just become a reader passed an old configuration on as recent. A VM now relies on a store reader only if both parts are recent, and a store reader that has not been confirmed within the same age reads the operator state again beside its watch. A watch waits 1 s, so that one that works always confirms in time, and is given up 0.3 s later. The time of the last read no longer goes back when an older one is reported.

--- a/news/reader.go
+++ b/news/reader.go
@@ -16,8 +16,9 @@
 	readerRankKey = "news/readers"
 	// fetchInterval is the time between two fetches from a store reader.
 	fetchInterval = 600 * time.Millisecond
-	// maxStateAge is the greatest age of a store reader's last read at which
-	// others use its state. It is not much longer than readInterval.
+	// maxStateAge is the greatest age of each part of a store reader's state at
+	// which others rely on it. It is not much longer than readInterval and
+	// watchWait.
 	maxStateAge = 1400 * time.Millisecond
 )
 
@@ -48,13 +49,15 @@
 	if err != nil {
 		return false
 	}
-	if u.Age > maxStateAge {
+	if max(u.Age, u.OperatorAge) > maxStateAge {
 		s.logOldState(vm, u)
 		return false
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.lastStoreRead = s.Clock.Now().Add(-u.Age)
+	if readAt := s.Clock.Now().Add(-u.Age); readAt.After(s.lastStoreRead) {
+		s.lastStoreRead = readAt
+	}
 	s.state.PeerReadStore()
 	return true
 }
--- a/news/reader_test.go
+++ b/news/reader_test.go
@@ -336,17 +336,11 @@
 	return int64(len(n.env.configs)), n.env.configChanged
 }
 
-// watchSlack is the time after the end of its wait at which a watch without a
-// response fails.
-const watchSlack = 500 * time.Millisecond
-
 // WaitForChange waits until the configuration changes after a revision.
 func (n *readersNode) WaitForChange(ctx context.Context, revision int64, wait time.Duration) (int64, error) {
 	if err := n.callStore(); err != nil {
 		return 0, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
-	defer cancel()
 	timeout := time.After(wait)
 	for {
 		current, changed := n.configRevision()
--- a/news/service.go
+++ b/news/service.go
@@ -24,9 +24,11 @@
 	// all VMs together, while none of the store readers can.
 	fleetRetryInterval = 50 * time.Millisecond
 	readTimeout        = 800 * time.Millisecond
-	// watchTimeout limits how long a connection that is broken without an error
-	// can delay changes by operators.
-	watchTimeout  = 2 * time.Second
+	// watchWait and watchSlack limit how long a connection that is broken without
+	// an error can delay changes by operators: a watch waits for watchWait, and its
+	// response may take watchSlack longer.
+	watchWait     = 1 * time.Second
+	watchSlack    = 300 * time.Millisecond
 	peerTimeout   = 400 * time.Millisecond
 	maxFetchPeers = 2 // Maximum number of nodes called in one refresh.
 )
@@ -41,7 +43,8 @@
 	OperatorState(ctx context.Context) (OperatorState, error)
 	// WaitForChange returns when the configuration or the drained failure
 	// domains have changed after a revision, or when wait has passed. It
-	// returns the revision to continue from, or zero after a change.
+	// returns the revision to continue from, or zero after a change. It fails if
+	// the store has not responded when the context ends.
 	WaitForChange(ctx context.Context, revision int64, wait time.Duration) (int64, error)
 }
 
@@ -186,15 +189,17 @@
 // watchOperatorState waits for a change after a revision, and returns what
 // Source.WaitForChange returns.
 func (s *Service) watchOperatorState(ctx context.Context, revision int64) (int64, error) {
+	callCtx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
+	defer cancel()
 	sent := s.Clock.Now()
-	next, err := s.Source.WaitForChange(ctx, revision, watchTimeout)
+	next, err := s.Source.WaitForChange(callCtx, revision, watchWait)
 	took := s.Clock.Now().Sub(sent)
 	if err != nil {
 		s.recordWatchError(ctx, took, err)
 		return 0, err
 	}
-	if next != 0 && took >= watchTimeout {
-		s.confirmOperatorState(sent.Add(watchTimeout))
+	if next != 0 && took >= watchWait {
+		s.confirmOperatorState(sent.Add(watchWait))
 	}
 	return next, nil
 }
@@ -246,11 +251,14 @@
 }
 
 // readStore reads the directory from the store, and the operator state if no
-// watch follows it.
+// watch follows it or the watch has not confirmed it for too long.
 func (s *Service) readStore(ctx context.Context, unwatched bool) error {
-	if err := s.readDirectory(ctx); err != nil || !unwatched {
+	if err := s.readDirectory(ctx); err != nil {
 		return err
 	}
+	if !unwatched && s.OperatorStateAge() <= maxStateAge {
+		return nil
+	}
 	_, err := s.readOperatorState(ctx)
 	return err
 }
