news: do not lose a change that a watch has not reported

A change that the watches of the store readers miss was never applied, until the next one: the watch went on from the revision of the store that its last empty response had named, behind the change. On the platform a watch may hear nothing for a while when the store drops its history. The watch goes on from the revision of the last read, and the operator state is read every 6 s besides. After a failed watch it is read at once, without the pause of 0.3 s. Calls to the store stay within the bounds of the tests: a watch waits 1.2 s now.

--- a/news/reader.go
+++ b/news/reader.go
@@ -16,10 +16,11 @@
 	readerRankKey = "news/readers"
 	// fetchInterval is the time between two fetches from a store reader.
 	fetchInterval = 600 * time.Millisecond
-	// maxStateAge is the greatest age of each part of a store reader's state at
-	// which others rely on it. It is not much longer than readInterval and
-	// watchWait.
-	maxStateAge = 1400 * time.Millisecond
+	// maxDirectoryAge and maxOperatorAge are the greatest ages of the parts of a
+	// store reader's state at which others rely on it. They are not much longer
+	// than the time in which a read and a watch confirm them.
+	maxDirectoryAge = 1400 * time.Millisecond
+	maxOperatorAge  = watchWait + watchSlack
 )
 
 // readsStore reports whether this VM reads the store itself: it is a store
@@ -49,7 +50,7 @@
 	if err != nil {
 		return false
 	}
-	if max(u.Age, u.OperatorAge) > maxStateAge {
+	if u.Age > maxDirectoryAge || u.OperatorAge > maxOperatorAge {
 		s.logOldState(vm, u)
 		return false
 	}
--- a/news/reader_test.go
+++ b/news/reader_test.go
@@ -65,7 +65,7 @@
 	cutFromStore       = "cut_from_store"      // The store does not respond to them.
 	watchSilent        = "watch_silent"        // Their watches do not respond; other calls to the store do.
 	operatorReadsFail  = "operator_reads_fail" // The store rejects their reads and watches of the operator state.
-	watchMissesChanges = "watch_misses"        // Their watches report newer revisions, but no changes.
+	watchMissesChanges = "watch_misses"        // Their watches report no changes.
 )
 
 func TestReaders(t *testing.T) {
@@ -337,29 +337,29 @@
 }
 
 // WaitForChange waits until the configuration changes after a revision.
-func (n *readersNode) WaitForChange(ctx context.Context, revision int64, wait time.Duration) (int64, error) {
+func (n *readersNode) WaitForChange(ctx context.Context, revision int64, wait time.Duration) (bool, error) {
 	if err := n.callStore(); err != nil {
-		return 0, err
+		return false, err
 	}
 	timeout := time.After(wait)
 	for {
 		current, changed := n.configRevision()
 		switch i := n.impairment(); {
 		case i == operatorReadsFail:
-			return 0, fault.New(fault.Unavailable, fault.NotRun, "rejected by the store")
+			return false, fault.New(fault.Unavailable, fault.NotRun, "rejected by the store")
 		case i == watchMissesChanges:
 			revision = current
 		case i != "":
 			<-ctx.Done()
-			return 0, fault.From(ctx.Err())
+			return false, fault.From(ctx.Err())
 		case current > revision:
-			return 0, nil
+			return true, nil
 		}
 		select {
 		case <-ctx.Done():
-			return 0, fault.From(ctx.Err())
+			return false, fault.From(ctx.Err())
 		case <-timeout:
-			return current, nil
+			return false, nil
 		case <-changed:
 		}
 	}
--- a/news/service.go
+++ b/news/service.go
@@ -24,11 +24,15 @@
 	// all VMs together, while none of the store readers can.
 	fleetRetryInterval = 50 * time.Millisecond
 	readTimeout        = 800 * time.Millisecond
+	// operatorReadInterval is the time between two reads of the operator state
+	// beside the watch, which may have missed a change while the store dropped
+	// its history.
+	operatorReadInterval = 6 * time.Second
 	// watchWait and watchSlack limit how long a connection that is broken without
 	// an error can delay changes by operators: a watch waits for watchWait, and its
 	// response may take watchSlack longer.
-	watchWait     = 1 * time.Second
-	watchSlack    = 300 * time.Millisecond
+	watchWait     = 1200 * time.Millisecond
+	watchSlack    = 200 * time.Millisecond
 	peerTimeout   = 400 * time.Millisecond
 	maxFetchPeers = 2 // Maximum number of nodes called in one refresh.
 )
@@ -41,11 +45,11 @@
 	// with the revision of the store. The configuration is not loaded if the
 	// store holds none.
 	OperatorState(ctx context.Context) (OperatorState, error)
-	// WaitForChange returns when the configuration or the drained failure
-	// domains have changed after a revision, or when wait has passed. It
-	// returns the revision to continue from, or zero after a change. It fails if
-	// the store has not responded when the context ends.
-	WaitForChange(ctx context.Context, revision int64, wait time.Duration) (int64, error)
+	// WaitForChange reports whether the configuration or the drained failure
+	// domains have changed, or may have changed, after a revision. It returns at
+	// a change or when wait has passed, and fails if the store has not responded
+	// when the context ends.
+	WaitForChange(ctx context.Context, revision int64, wait time.Duration) (changed bool, err error)
 }
 
 // OperatorState is what operators have written to the store.
@@ -160,7 +164,8 @@
 // loopOperatorState reads and watches what operators write while this VM reads
 // the store itself.
 func (s *Service) loopOperatorState(ctx context.Context) error {
-	var revision int64 // Zero if the keys must be read.
+	var revision int64 // Zero if the operator state must be read.
+	var readAt time.Time
 	for ctx.Err() == nil {
 		if !s.readsStore() {
 			revision = 0
@@ -169,41 +174,41 @@
 			}
 			continue
 		}
-		var err error
-		if revision == 0 {
-			revision, err = s.readOperatorState(ctx)
-		} else {
-			revision, err = s.watchOperatorState(ctx, revision)
-		}
-		if err == nil {
+		if revision != 0 && s.Clock.Now().Sub(readAt) < operatorReadInterval {
+			if !s.watchUnchanged(ctx, revision) {
+				revision = 0
+			}
 			continue
 		}
-		revision = 0
-		if !s.sleep(ctx, retryInterval) {
+		var err error
+		readAt = s.Clock.Now()
+		if revision, err = s.readOperatorState(ctx); err != nil && !s.sleep(ctx, retryInterval) {
 			return nil
 		}
 	}
 	return nil
 }
 
-// watchOperatorState waits for a change after a revision, and returns what
-// Source.WaitForChange returns.
-func (s *Service) watchOperatorState(ctx context.Context, revision int64) (int64, error) {
+// watchUnchanged watches the operator state for watchWait and reports whether it
+// is known to be the same as at a revision of the store.
+func (s *Service) watchUnchanged(ctx context.Context, revision int64) bool {
 	callCtx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
 	defer cancel()
 	sent := s.Clock.Now()
-	next, err := s.Source.WaitForChange(callCtx, revision, watchWait)
+	changed, err := s.Source.WaitForChange(callCtx, revision, watchWait)
 	took := s.Clock.Now().Sub(sent)
 	if err != nil {
 		s.recordWatchError(ctx, took, err)
-		return 0, err
+		return false
 	}
-	if next != 0 && took >= watchWait {
+	if !changed && took >= watchWait {
 		s.confirmOperatorState(sent.Add(watchWait))
 	}
-	return next, nil
+	return !changed
 }
 
+// readOperatorState reads the operator state and returns the store's revision,
+// zero if the read fails.
 func (s *Service) readOperatorState(ctx context.Context) (int64, error) {
 	callCtx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
@@ -256,7 +261,7 @@
 	if err := s.readDirectory(ctx); err != nil {
 		return err
 	}
-	if !unwatched && s.OperatorStateAge() <= maxStateAge {
+	if !unwatched && s.OperatorStateAge() <= maxOperatorAge {
 		return nil
 	}
 	_, err := s.readOperatorState(ctx)
