news: do not pass on state from before a pause as recent

A store reader that has been suspended may tell others that its configuration is recent although it is as old as the pause: the age is measured by the monotonic clock, which stands still meanwhile.

--- a/news/fetch.go
+++ b/news/fetch.go
@@ -44,7 +44,9 @@
 		return update{}, err
 	}
 	s.apply(vm, u)
-	s.confirmOperatorState(sent.Add(-u.OperatorAge))
+	if u.OperatorAge < maxAge {
+		s.confirmOperatorState(sent.Add(-u.OperatorAge))
+	}
 	return u, nil
 }
 
@@ -74,7 +76,8 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	now := s.Clock.Now()
-	u := update{Now: now, Age: now.Sub(s.lastStoreRead), OperatorAge: now.Sub(s.operatorsAsOf), GraceRemaining: s.state.GraceRemaining(now)}
+	directoryAge, operatorAge := s.ages(now)
+	u := update{Now: now, Age: directoryAge, OperatorAge: operatorAge, GraceRemaining: s.state.GraceRemaining(now)}
 	if c := s.state.Config(); c.Loaded() && c.Revision > remote.ConfigRevision {
 		u.Config = &c
 	}
--- a/news/service.go
+++ b/news/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -37,6 +38,9 @@
 	maxFetchPeers = 2 // Maximum number of nodes called in one refresh.
 )
 
+// maxAge is the age of state that was never confirmed.
+const maxAge = time.Duration(math.MaxInt64)
+
 // Source reads the store.
 type Source interface {
 	// Directory returns the registered targets. DrainedDomains is not set.
@@ -76,12 +80,13 @@
 	Log     *logrus.Entry
 	Metrics *metrics.Set
 
-	mutex         sync.Mutex
+	mutex         sync.Mutex // Guards the fields below.
 	state         State
 	lastStoreRead time.Time // Last successful read, by this node or by the store reader that it fetched from.
 	// operatorsAsOf is the latest time at which the store is known to have held
 	// the operator state of this node. It may be zero.
 	operatorsAsOf time.Time
+	pauses        pauseDetector
 	lastReadError time.Time // Last failed read by loopRefresh, which alone uses it.
 }
 
@@ -144,11 +149,20 @@
 }
 
 // OperatorStateAge returns the time since the store is known to have held the
-// operator state of this node. Before the first read it is the maximum duration.
+// operator state of this node. Before the first read, and after a pause of the VM
+// until the next one, it is the maximum duration.
 func (s *Service) OperatorStateAge() time.Duration {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.Clock.Now().Sub(s.operatorsAsOf)
+	_, operators := s.ages(s.Clock.Now())
+	return operators
+}
+
+// ages returns the ages of the directory and of the operator state. The mutex is
+// held.
+func (s *Service) ages(now time.Time) (directory, operators time.Duration) {
+	s.pauses.observe(now)
+	return s.pauses.age(now, s.lastStoreRead), s.pauses.age(now, s.operatorsAsOf)
 }
 
 // confirmOperatorState records that the store held the operator state of this
