--- a/news/service.go
+++ b/news/service.go
@@ -47,7 +47,7 @@
 	Directory(ctx context.Context) (site.Directory, error)
 	// OperatorState returns the configuration and the drained failure domains,
 	// with the revision of the store. The configuration is not loaded if the
-	// store holds none.
+	// store holds none or an invalid one.
 	OperatorState(ctx context.Context) (OperatorState, error)
 	// WaitForChange reports whether the configuration or the drained failure
 	// domains have changed, or may have changed, after a revision. It returns at
