news: ask a second store reader after 150 ms

A VM waited 0.4 s for each of two store readers that do not respond, one after the other, before it went to the store. With half of the store readers frozen and a configuration that is already 1.4 s old in the others the bound of 3 s was nearly used up. The second one is asked after 150 ms now, or at once if the first refuses.

--- a/news/reader.go
+++ b/news/reader.go
@@ -16,6 +16,8 @@
 	readerRankKey = "news/readers"
 	// fetchInterval is the time between two fetches from a store reader.
 	fetchInterval = 600 * time.Millisecond
+	// hedgeDelay is the time after which a second store reader is asked, too.
+	hedgeDelay = 150 * time.Millisecond
 	// maxDirectoryAge and maxOperatorAge are the greatest ages of the parts of a
 	// store reader's state at which others rely on it. They are not much longer
 	// than the time in which a read and a watch confirm them.
@@ -36,11 +38,52 @@
 
 func (s *Service) isSelf(m member.VM) bool { return m.ID == s.Self }
 
-// fetchFromReaders fetches state from a random store reader, or from another
-// one if the first does not respond or has no recent state. It reports false if
-// neither has.
+// fetchFromReaders fetches state from a random store reader, and from another
+// one if the first has no recent state or has not responded after hedgeDelay. It
+// reports false if neither has recent state.
 func (s *Service) fetchFromReaders(ctx context.Context) bool {
-	return slices.ContainsFunc(s.randomPeers(s.View().Rank(readerRankKey, readerCount)), func(vm string) bool { return s.fetchFromReader(ctx, vm) })
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	vms := s.randomPeers(s.View().Rank(readerRankKey, readerCount))
+	recent := make(chan bool, len(vms))
+	var hedge <-chan time.Time
+	for waiting := 0; waiting > 0 || len(vms) > 0; {
+		if len(vms) > 0 && (waiting == 0 || hedge == nil) {
+			s.startFetch(readerFetch{service: s, ctx: ctx, vm: vms[0], recent: recent})
+			waiting++
+			vms = vms[1:]
+			hedge = s.Clock.After(hedgeDelay)
+		}
+		select {
+		case ok := <-recent:
+			if ok {
+				return true
+			}
+			waiting--
+		case <-hedge:
+			hedge = nil
+		}
+	}
+	return false
+}
+
+// readerFetch is a fetch from one store reader.
+type readerFetch struct {
+	service *Service
+	ctx     context.Context
+	vm      string
+	recent  chan<- bool // Receives whether the state is recent; has room for it.
+}
+
+// startFetch starts a fetch, for which [Service.Run] waits before it returns.
+func (s *Service) startFetch(f readerFetch) {
+	s.fetches.Add(1)
+	go f.run()
+}
+
+func (f readerFetch) run() {
+	defer f.service.fetches.Done()
+	f.recent <- f.service.fetchFromReader(f.ctx, f.vm)
 }
 
 // fetchFromReader fetches state from one store reader and reports whether it is
--- a/news/service.go
+++ b/news/service.go
@@ -87,6 +87,7 @@
 	// the operator state of this node. It may be zero.
 	operatorsAsOf time.Time
 	pauses        pauseDetector
+	fetches       sync.WaitGroup
 	lastReadError time.Time // Last failed read by loopRefresh, which alone uses it.
 }
 
@@ -122,6 +123,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return s.loopOperatorState(ctx) })
 	group.Go(func() error { return s.loopRefresh(ctx) })
+	defer s.fetches.Wait()
 	return group.Wait()
 }
 
