news: fetch a configuration that another VM is known to have

A VM that the store does not answer and whose store readers are in trouble, too, stayed with its configuration for more than 3 s, although heartbeats told it that others had a newer one: on the platform's path nothing used that. Evidence: TestReaders/config half_of_the_readers_cut_from_the_store_then_the_others_frozen fails without the heartbeats (3 s). The other cases of the test play without them, so that they guard the reads alone. The membership now tells news of each newer revision, which is fetched from that VM at once, or from others that report a newer one.

--- a/news/reader_test.go
+++ b/news/reader_test.go
@@ -44,13 +44,12 @@
 	// ConfigChangesMS are the times at which the configuration changes, and
 	// MaxConfigLagMS limits the time until every running node has applied a
 	// change.
-	ConfigChangesMS []int `json:"config_changes_ms"`
-	MaxConfigLagMS  int   `json:"max_config_lag_ms"`
-	// Impaired is the number of store readers to which Impairment happens at
-	// ImpairMS.
-	Impaired   int    `json:"impaired"`
-	Impairment string `json:"impairment"`
-	ImpairMS   int    `json:"impair_ms"`
+	ConfigChangesMS []int        `json:"config_changes_ms"`
+	MaxConfigLagMS  int          `json:"max_config_lag_ms"`
+	Impairments     []impairment `json:"impairments"`
+	// Heartbeats means that the nodes learn each other's revisions from
+	// heartbeats.
+	Heartbeats bool `json:"heartbeats"`
 	// ForgetMS is the time at which the membership drops the impaired VMs; zero
 	// means never.
 	ForgetMS int `json:"forget_ms"`
@@ -59,7 +58,15 @@
 	Seeds int `json:"seeds"`
 }
 
-// The impairments of store readers.
+// impairment is what happens to a number of store readers that no earlier one
+// has hit.
+type impairment struct {
+	Kind  string `json:"kind"`
+	Count int    `json:"count"`
+	AtMS  int    `json:"at_ms"`
+}
+
+// The kinds of impairment.
 const (
 	frozen             = "frozen"              // They do not run; calls to them get no response.
 	cutFromStore       = "cut_from_store"      // The store does not respond to them.
@@ -88,6 +95,9 @@
 	defer e.stop()
 	for ms := 0; ms < c.Seconds*1000; ms += 10 {
 		e.applyEvents(c, ms)
+		if c.Heartbeats && ms%heartbeatMS == 0 {
+			e.reportRevisions()
+		}
 		time.Sleep(10 * time.Millisecond)
 		e.checkLag(t, c)
 		e.checkConfigLag(t, c)
@@ -115,9 +125,12 @@
 	rejected      map[string]bool // VMs whose calls the store rejects.
 	recentCalls   int             // Calls in the last five seconds of the case.
 	recentFrom    time.Time
-	configs       []time.Time       // Time of each change of the configuration, the first one included.
-	configChanged chan struct{}     // Closed and replaced at each change of the configuration.
-	impaired      map[string]string // Impairment by VM.
+	configs       []time.Time   // Time of each change of the configuration, the first one included.
+	configChanged chan struct{} // Closed and replaced at each change of the configuration.
+	names         []string
+	random        ports.Random
+	readers       []member.VM
+	impaired      map[string]string // Kind of impairment by VM.
 }
 
 type readersNode struct {
@@ -140,6 +153,8 @@
 		vms = append(vms, member.VM{ID: fmt.Sprintf("vm-%02d", i), Attributes: member.Attributes{Ready: true}})
 	}
 	e.view = member.NewView(vms[0], vms[1:]...)
+	e.readers = e.view.Rank(readerRankKey, readerCount)
+	e.random = ports.NewSeededRandom(seed)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	for i, v := range vms {
@@ -150,6 +165,7 @@
 			Random: ports.NewSeededRandom(1 + seed*uint64(len(vms)) + uint64(i)), Log: logrus.NewEntry(log), Metrics: metrics.NewSet(),
 		}
 		e.nodes[v.ID] = n
+		e.names = append(e.names, v.ID)
 	}
 	return e
 }
@@ -213,10 +229,14 @@
 		close(e.configChanged)
 		e.configChanged = make(chan struct{})
 	}
-	if c.Impaired > 0 && ms == c.ImpairMS {
-		for _, r := range e.view.Rank(readerRankKey, c.Impaired) {
-			e.impaired[r.ID] = c.Impairment
+	first := 0
+	for _, i := range c.Impairments {
+		if i.AtMS == ms {
+			for _, r := range e.readers[first : first+i.Count] {
+				e.impaired[r.ID] = i.Kind
+			}
 		}
+		first += i.Count
 	}
 	if c.ForgetMS > 0 && ms == c.ForgetMS {
 		members := slices.DeleteFunc(slices.Clone(e.view.Members()), func(m member.VM) bool { return e.impaired[m.ID] != "" })
@@ -224,6 +244,19 @@
 	}
 }
 
+// heartbeatMS is the time between two heartbeats that a node receives.
+const heartbeatMS = 250
+
+// reportRevisions delivers a heartbeat of a random node to each node.
+func (e *readersEnv) reportRevisions() {
+	for _, n := range e.nodes {
+		from := e.nodes[e.names[e.random.Uint64()%uint64(len(e.names))]]
+		if n.impairment() != frozen && from.impairment() != frozen {
+			n.service.ObserveRevision(from.service.Self, from.service.Config().Revision)
+		}
+	}
+}
+
 // checkConfigLag checks that every running node has the configurations that
 // changed more than MaxConfigLagMS ago.
 func (e *readersEnv) checkConfigLag(t *testing.T, c readersCase) {
--- a/news/service.go
+++ b/news/service.go
@@ -87,8 +87,12 @@
 	// the operator state of this node. It may be zero.
 	operatorsAsOf time.Time
 	pauses        pauseDetector
+	reported      report
 	fetches       sync.WaitGroup
 	lastReadError time.Time // Last failed read by loopRefresh, which alone uses it.
+
+	setup sync.Once
+	wake  chan struct{} // Wakes loopReported.
 }
 
 // revisions are the revisions that a node has, zero for a part that it lacks;
@@ -120,9 +124,11 @@
 // Run follows the store until the context is canceled.
 func (s *Service) Run(ctx context.Context) error {
 	s.registerGauges()
+	s.prepare()
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return s.loopOperatorState(ctx) })
 	group.Go(func() error { return s.loopRefresh(ctx) })
+	group.Go(func() error { return s.loopReported(ctx) })
 	defer s.fetches.Wait()
 	return group.Wait()
 }
--- a/serve/node.go
+++ b/serve/node.go
@@ -238,6 +238,7 @@
 		},
 		Seeds: n.Seeds, Network: n.Network, Clock: n.Clock, Random: n.Random,
 		Log: n.logger("member"), Metrics: n.Metrics, OnAnnouncement: n.receiveAnnouncement,
+		OnNewerRevision: n.observeRevision,
 	}
 	n.news = &news.Service{
 		Self: n.Settings.VM, Source: n.Source, Peers: n.peers, View: n.members.View, Clock: n.Clock, Random: n.Random,
@@ -266,6 +267,10 @@
 	}
 }
 
+func (n *Node) observeRevision(from member.VM, revision int64) {
+	n.news.ObserveRevision(from.ID, revision)
+}
+
 // bounds returns the current limits on the total of all nodes of the fleet.
 func (n *Node) bounds() relay.Bounds { return n.currentSettings().Bounds }
 
