relay: tell clients to retry what a newer configuration may allow

A VM answered 404 or 401 for a route or key that had been added, although it knew from heartbeats that another VM had a newer configuration. Clients do not retry these. It now answers 503 with Retry-After 0.3 s, not run, until it has the newer configuration: it can't tell. What its own configuration allows is served as before. TestUnknownRoutesAndKeysOfAnOutdatedConfiguration failed before in unknown_route_when_outdated and unknown_key_when_outdated.

--- a/news/report.go
+++ b/news/report.go
@@ -39,6 +39,14 @@
 	}
 }
 
+// Outdated reports whether another VM has reported a newer configuration than
+// that of this node.
+func (s *Service) Outdated() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.reported.revision > s.state.Config().Revision
+}
+
 // loopReported fetches configurations that other VMs report.
 func (s *Service) loopReported(ctx context.Context) error {
 	for {
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -22,6 +22,9 @@
 	// notReadyRetryAfter is the retry delay sent to clients while this node has
 	// no configuration, no directory or no service for the route.
 	notReadyRetryAfter = 500 * time.Millisecond
+	// outdatedRetryAfter is the retry delay sent to clients whose request might
+	// be valid in a newer configuration.
+	outdatedRetryAfter = 300 * time.Millisecond
 )
 
 // exchange is the handling of one client request: its stages, its attempts at
@@ -95,7 +98,7 @@
 	names := x.server.Names
 	route, ok := x.config.Route(x.request.Host(), x.request.Path())
 	if !ok {
-		return fault.New(fault.NotFound, fault.NotRun, "no route for %s%s", x.request.Host(), x.request.Path())
+		return x.rejectUnknown(fault.NotFound, "no route for %s%s", x.request.Host(), x.request.Path())
 	}
 	x.route = route
 	if err := x.authenticate(); err != nil {
@@ -126,12 +129,22 @@
 	key := x.server.Names.AccountKey
 	a, ok := x.config.Account(x.request.Headers.Get(key))
 	if !ok || x.request.Headers.Count(key) > 1 {
-		return fault.New(fault.Unauthorized, fault.NotRun, "the key belongs to no client account")
+		return x.rejectUnknown(fault.Unauthorized, "the key belongs to no client account")
 	}
 	x.account = a
 	return nil
 }
 
+// rejectUnknown returns the error for a route or key that the configuration does
+// not have. If it is known to be outdated, the client is told to retry.
+func (x *exchange) rejectUnknown(kind fault.Kind, format string, args ...any) error {
+	err := fault.New(kind, fault.NotRun, format, args...)
+	if x.server.Outdated == nil || !x.server.Outdated() {
+		return err
+	}
+	return fault.New(fault.Unavailable, fault.NotRun, "configuration %d is out of date: %s", x.config.Revision, err.Message).WithRetryAfter(outdatedRetryAfter)
+}
+
 // parseTimeout sets the deadlines from the shorter of the route's timeout and
 // the client's.
 func (x *exchange) parseTimeout() error {
--- a/relay/server.go
+++ b/relay/server.go
@@ -66,6 +66,9 @@
 	Random    ports.Random
 	Log       *logrus.Entry
 	Metrics   *metrics.Set
+	// Outdated reports whether another VM is known to have a newer configuration;
+	// nil means never.
+	Outdated func() bool
 	// OnCrash is called with each crash to broadcast to the other nodes; may be
 	// nil.
 	OnCrash func(Crash)
--- a/serve/node.go
+++ b/serve/node.go
@@ -255,7 +255,7 @@
 		Listener: clients, Self: n.Settings.VM, Names: n.Names, Domain: n.Settings.Domain, Config: n.news.Config,
 		Directory: n.news.Directory, View: n.members.View, Stages: n.batch, Client: n.Client,
 		Bounds: n.bounds, Clock: n.Clock, Random: n.Random, Log: n.logger("relay"), Metrics: n.Metrics,
-		OnCrash: n.broadcastCrash,
+		Outdated: n.news.Outdated, OnCrash: n.broadcastCrash,
 	}
 }
 
