wire: bound the bytes that are read before a response

A target in trouble may send bytes that are no response without end. A node now skips at most 8 interim responses and 1 MB of another response, then closes the connection.

--- a/wire/client.go
+++ b/wire/client.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"strconv"
 	"strings"
@@ -19,6 +20,10 @@
 	// maxStrayResponses is the number of responses to earlier requests that are
 	// skipped before a connection is closed.
 	maxStrayResponses = 2
+	maxStrayBytes     = 1 << 20 // Size limit of the body of a skipped response.
+	// maxInterimResponses is the number of responses with a status of 100 to 199
+	// that are skipped before a connection is closed.
+	maxInterimResponses = 8
 )
 
 // Client sends requests and reuses idle connections. The exported fields are set
@@ -155,13 +160,25 @@
 		if value == "" {
 			return nil, errors.New("the answer names no request")
 		}
-		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		if err := skipBody(r); err != nil {
 			return nil, err
 		}
 	}
 	return nil, errors.New("the answers belong to other requests")
 }
 
+// skipBody reads the body of a response to another request.
+func skipBody(r *Response) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxStrayBytes))
+	if err != nil {
+		return err
+	}
+	if n == maxStrayBytes {
+		return fmt.Errorf("the answer to another request is longer than %d bytes", maxStrayBytes)
+	}
+	return nil
+}
+
 func writeHeader(w io.StringWriter, h Header) {
 	for _, p := range [...]string{h.Name, ": ", h.Value, "\r\n"} {
 		_, _ = w.WriteString(p) // Flush returns the error.
@@ -171,7 +188,7 @@
 // readResponse reads the header of the next final response. It skips those with a
 // status of 100 to 199.
 func readResponse(conn *Conn, method string) (*Response, error) {
-	for {
+	for range maxInterimResponses + 1 {
 		line, headers, err := readHeader(conn.Reader)
 		if err != nil {
 			return nil, err
@@ -185,6 +202,7 @@
 		}
 		return newResponse(conn, method, status, headers)
 	}
+	return nil, fmt.Errorf("more than %d interim responses", maxInterimResponses)
 }
 
 func parseStatus(line string) (int, bool) {
