relay: limit the memory for responses of all requests together

A response without an end was read up to 8 MB and an event up to 1 MB, for each request: twenty requests at a target in trouble could take more memory than a small VM has, whose process is then killed with all its callers. A response that was too long also counted as a crash of its target, so that its content could be rejected for other callers.

--- a/relay/events.go
+++ b/relay/events.go
@@ -6,8 +6,6 @@
 	"io"
 	"strconv"
 	"strings"
-
-	"bergamotworks/fault"
 )
 
 // errStreamEnd means that a stream ended after a complete event.
@@ -20,29 +18,20 @@
 // eventReader reads complete server-sent events from a stream.
 type eventReader struct {
 	source  io.Reader
-	pending []byte
+	pending buffer
 }
 
 // next returns the complete events that have arrived, maybe none. The error is
 // errStreamEnd at the end of a stream, [io.ErrUnexpectedEOF] if the last event
-// is incomplete, or of kind [fault.TooLarge] if an event reaches maxEventBytes.
+// is incomplete, or of kind [fault.TooLarge] if an event is too long.
 func (r *eventReader) next() ([]byte, error) {
-	if r.pending == nil {
-		r.pending = make([]byte, 0, eventBufferSize)
-	}
-	if len(r.pending) == cap(r.pending) {
-		if len(r.pending) >= maxEventBytes {
-			return nil, fault.New(fault.TooLarge, fault.MayHaveRun, "an event is longer than %d bytes", maxEventBytes)
-		}
-		r.pending = append(make([]byte, 0, 2*cap(r.pending)), r.pending...)
-	}
-	n, err := r.source.Read(r.pending[len(r.pending):cap(r.pending)])
-	r.pending = r.pending[:len(r.pending)+n]
-	end := completeEventsLen(r.pending)
-	events := bytes.Clone(r.pending[:end])
-	r.pending = r.pending[:copy(r.pending, r.pending[end:])]
+	err := r.pending.readFrom(r.source)
+	data := r.pending.data
+	end := completeEventsLen(data)
+	events := bytes.Clone(data[:end])
+	r.pending.data = data[:copy(data, data[end:])]
 	if err == io.EOF {
-		if len(r.pending) > 0 {
+		if len(r.pending.data) > 0 {
 			return events, io.ErrUnexpectedEOF
 		}
 		return events, errStreamEnd
--- a/relay/events_test.go
+++ b/relay/events_test.go
@@ -40,7 +40,7 @@
 }
 
 func readEvents(source io.Reader, last int64) (string, int64, error) {
-	r := eventReader{source: source}
+	r := eventReader{source: source, pending: buffer{budget: &byteBudget{}, limit: maxEventBytes}}
 	var forwarded strings.Builder
 	for {
 		events, err := r.next()
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -14,12 +14,6 @@
 	"bergamotworks/wire"
 )
 
-const (
-	maxBufferedBytes = 8 << 20 // Size limit of a response that is forwarded as a whole.
-	eventBufferSize  = 4 << 10
-	maxEventBytes    = 1 << 20
-)
-
 // forward forwards a response to the client.
 func (x *exchange) forward(ctx context.Context, resp *wire.Response) error {
 	if x.route.Kind == site.Stream && resp.Status < 300 {
@@ -34,15 +28,16 @@
 // forwardBuffered reads a response completely before it sends any of it, so
 // that an interrupted response can still be replaced by a retry.
 func (x *exchange) forwardBuffered(resp *wire.Response) error {
-	data, err := resp.ReadAll(maxBufferedBytes)
-	if err != nil {
-		return fault.New(fault.ConnectionLost, fault.MayHaveRun, "the answer of %s broke off: %s", x.target, err)
+	b := buffer{budget: &x.server.buffers, limit: maxBufferedBytes}
+	defer b.release()
+	if err := b.readAll(resp.Body); err != nil {
+		return x.unreadable("answer", err)
 	}
 	x.firstByte = x.server.Clock.Now().Sub(x.arrived)
 	x.client.setWriteTimeout(x.timeLeft())
 	x.headerSent = true
-	x.writeHeader(resp, wire.Header{Name: "Content-Length", Value: strconv.Itoa(len(data))})
-	_, _ = x.client.writer.Write(data) // Flush reports the error.
+	x.writeHeader(resp, wire.Header{Name: "Content-Length", Value: strconv.Itoa(len(b.data))})
+	_, _ = x.client.writer.Write(b.data) // Flush reports the error.
 	if err := x.flush(); err != nil {
 		return err
 	}
@@ -50,6 +45,15 @@
 	return nil
 }
 
+// unreadable returns the error for a response, an answer or a stream, that could
+// not be read to its end. Its target has not crashed if it sends too much.
+func (x *exchange) unreadable(what string, err error) error {
+	if fault.From(err).Kind == fault.TooLarge {
+		return fault.New(fault.TargetFailed, fault.MayHaveRun, "the %s of %s is too long: %s", what, x.target, err)
+	}
+	return fault.New(fault.ConnectionLost, fault.MayHaveRun, "the %s of %s broke off: %s", what, x.target, err)
+}
+
 // writeHeader writes the status line and the header of a target's response,
 // with framing in place of its own framing fields.
 func (x *exchange) writeHeader(resp *wire.Response, framing wire.Header) {
@@ -91,7 +95,8 @@
 // forwardEvents forwards a stream of server-sent events, only complete events
 // at a time.
 func (x *exchange) forwardEvents(ctx context.Context, resp *wire.Response) error {
-	r := eventReader{source: resp.Body}
+	r := eventReader{source: resp.Body, pending: buffer{budget: &x.server.buffers, limit: maxEventBytes}}
+	defer r.pending.release()
 	for {
 		events, err := r.next()
 		if len(events) > 0 {
@@ -107,7 +112,7 @@
 		case ctx.Err() != nil:
 			return fault.New(fault.DeadlineExceeded, fault.MayHaveRun, "the stream of %s was not done in time", x.target)
 		}
-		return fault.New(fault.ConnectionLost, fault.MayHaveRun, "the stream of %s broke off: %s", x.target, err)
+		return x.unreadable("stream", err)
 	}
 }
 
--- a/relay/server.go
+++ b/relay/server.go
@@ -84,6 +84,7 @@
 	draining     atomic.Bool
 	running      sync.WaitGroup
 	counters     counters
+	buffers      byteBudget
 }
 
 func (s *Server) init() {
@@ -92,6 +93,7 @@
 	s.clients = make(map[*clientConn]struct{})
 	s.dropped = droppedHeaders(s.Names)
 	s.counters.init(s.Metrics)
+	s.Metrics.NewGauge("relay_buffered_bytes", func() float64 { return float64(s.buffers.used.Load()) })
 	s.Metrics.NewGauge("relay_targets_lost_with_requests", s.crashCount)
 }
 
