--- a/relay/events.go
+++ b/relay/events.go
@@ -30,7 +30,7 @@
 	end := completeEventsLen(data)
 	events := bytes.Clone(data[:end])
 	r.pending.data = data[:copy(data, data[end:])]
-	if err == io.EOF {
+	if errors.Is(err, io.EOF) {
 		if len(r.pending.data) > 0 {
 			return events, io.ErrUnexpectedEOF
 		}
