soak: change the configuration under load, and drain failure domains

The soak never changed the configuration while faults were injected, and its fault that drains a failure domain never did: -admin came after the domain, so that the command failed and its error was dropped.

--- a/cmds/soak.go
+++ b/cmds/soak.go
@@ -83,7 +83,7 @@
 	if err != nil {
 		return err
 	}
-	fmt.Fprintf(a.stdout, "seed %d: %d requests, %d served, %d violations\n", r.Seed, report.Requests, report.Served, len(report.Violations))
+	fmt.Fprintf(a.stdout, "seed %d: %d requests, %d served, %d changes of the configuration, %d violations\n", r.Seed, report.Requests, report.Served, report.Changes, len(report.Violations))
 	for _, f := range report.Violations {
 		fmt.Fprintln(a.stdout, "BROKEN", f)
 	}
--- a/soak/env.go
+++ b/soak/env.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -157,22 +158,14 @@
 
 // runCommand runs an operator command with the admin addresses of all nodes, of
 // which it uses the first that responds. The flag -admin is inserted before the
-// first flag in args; if args has no flag, -admin is appended, after the arguments
-// of the command.
+// first flag in args, of which there must be one.
 func (e *env) runCommand(args ...string) error {
 	var admins []string
 	for _, n := range e.nodes {
 		admins = append(admins, n.admin)
 	}
-	command := args[:len(args):len(args)]
-	flagIndex := len(command)
-	for i, a := range command {
-		if strings.HasPrefix(a, "-") {
-			flagIndex = i
-			break
-		}
-	}
-	command = append(append(command[:flagIndex:flagIndex], "-admin", strings.Join(admins, ",")), command[flagIndex:]...)
+	flagIndex := slices.IndexFunc(args, func(a string) bool { return strings.HasPrefix(a, "-") })
+	command := slices.Insert(slices.Clone(args), flagIndex, "-admin", strings.Join(admins, ","))
 	out, err := exec.Command(e.binary, command...).CombinedOutput() //nolint:gosec // The binary under test.
 	if err != nil {
 		return trace.Wrap(err, "%s: %s", strings.Join(args, " "), out)
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -184,15 +184,13 @@
 
 // drain runs the commands that drain a failure domain and restore it, and ignores
 // their errors, since nodes may be down; restoreDomains repeats the second one
-// after the load. The commands have no flags here, so runCommand appends -admin
-// after the domain, where they take it for an argument and fail: no domain is
-// drained at present.
+// after the load.
 func (j *injector) drain(domain string, duration time.Duration) {
 	if !j.acquire(domains()[0]) { // Only one domain is drained at a time.
 		return
 	}
 	defer j.release(domains()[0])
-	_ = j.env.runCommand("domain", "out", domain) // The nodes may be down.
+	_ = j.env.runCommand("domain", "out", "-wait=false", domain) // The nodes may be down.
 	time.Sleep(duration)
-	_ = j.env.runCommand("domain", "in", domain) // As above.
+	_ = j.env.runCommand("domain", "in", "-wait=false", domain) // As above.
 }
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -30,6 +30,7 @@
 	listener net.Listener
 	mutex    sync.Mutex
 	state    linkState
+	changed  time.Time // When the state last changed.
 	conns    map[net.Conn]struct{}
 	running  sync.WaitGroup
 }
@@ -51,7 +52,7 @@
 func (p *proxy) set(state linkState) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	p.state = state
+	p.state, p.changed = state, time.Now()
 	if state == reset {
 		p.resetAll()
 	}
@@ -73,6 +74,13 @@
 	return p.state
 }
 
+// passingSince reports whether the proxy has forwarded data unchanged since a time.
+func (p *proxy) passingSince(since time.Time) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.state == passing && p.changed.Before(since)
+}
+
 // run accepts connections until the proxy is closed.
 func (p *proxy) run() {
 	defer p.running.Done()
--- a/soak/run.go
+++ b/soak/run.go
@@ -48,6 +48,7 @@
 type Report struct {
 	Requests   int
 	Served     int
+	Changes    int      // Accepted changes of the configuration.
 	Violations []string // Descriptions of the violated guarantees.
 }
 
@@ -64,13 +65,13 @@
 		return Report{}, err
 	}
 	faults := planFaults(random, r.Duration, r.FaultsPerSecond)
-	clients := r.runLoad(ctx, e, random, faults)
-	var report Report
-	if err := r.awaitRecovery(e, clients[0]); err != nil {
+	clients, o := r.runLoad(ctx, e, random, faults)
+	report := Report{Changes: len(o.changes)}
+	if err := r.awaitRecovery(e, clients[0], o); err != nil {
 		report.Violations = append(report.Violations, err.Error())
 	}
 	report.Violations = append(report.Violations, e.shutDown()...)
-	for _, c := range clients {
+	for _, c := range append(clients, o.client) {
 		c.check(e.runs)
 		report.Violations = append(report.Violations, c.violations...)
 		report.Requests += len(c.outcomes)
@@ -95,18 +96,24 @@
 	return fmt.Sprintf("127.%d.%d.", 1+at%numbers, 1+at/numbers%numbers)
 }
 
-// runLoad injects the faults while clients send requests.
-func (r *Run) runLoad(ctx context.Context, e *env, random *rand.Rand, faults []fault) []*client {
+// runLoad injects the faults and changes the configuration while clients send
+// requests.
+func (r *Run) runLoad(ctx context.Context, e *env, random *rand.Rand, faults []fault) ([]*client, *operator) {
 	ctx, cancel := context.WithTimeout(ctx, r.Duration)
 	defer cancel()
 	var faultsDone, clientsDone sync.WaitGroup
 	var clients []*client
 	for i := range clientsPerNode * r.Nodes {
-		c := &client{env: e, name: fmt.Sprintf("c%d", i), checkDeadlines: r.CheckDeadlines, random: rand.New(rand.NewPCG(random.Uint64(), 0))}
+		c := r.newClient(e, fmt.Sprintf("c%d", i), random.Uint64())
 		clients = append(clients, c)
 		clientsDone.Add(1)
 		go c.run(ctx, &clientsDone)
 	}
+	o := &operator{
+		env: e, client: r.newClient(e, "operator", random.Uint64()), random: rand.New(rand.NewPCG(random.Uint64(), 0)), checkDelay: r.CheckDeadlines,
+	}
+	clientsDone.Add(1)
+	go o.run(ctx, &clientsDone)
 	j := &injector{env: e, inUse: make(map[any]int)}
 	for _, f := range faults {
 		fmt.Fprintln(r.Output, f)
@@ -118,12 +125,16 @@
 	for _, err := range j.errors {
 		clients[0].addViolation("%s", err)
 	}
-	return clients
+	return clients, o
+}
+
+func (r *Run) newClient(e *env, name string, seed uint64) *client {
+	return &client{env: e, name: name, checkDeadlines: r.CheckDeadlines, random: rand.New(rand.NewPCG(seed, 0))}
 }
 
 // awaitRecovery ends the drains of all failure domains and waits until every node
-// serves requests.
-func (r *Run) awaitRecovery(e *env, c *client) error {
+// serves requests, also on the routes that were added.
+func (r *Run) awaitRecovery(e *env, c *client, o *operator) error {
 	deadline := time.Now().Add(r.RecoveryTimeout)
 	for e.restoreDomains() != nil && time.Now().Before(deadline) {
 		time.Sleep(pollInterval)
@@ -141,6 +152,12 @@
 				}
 			}
 		}
+		for !o.knows(n) {
+			if time.Now().After(deadline) {
+				return trace.Errorf("%s does not serve all routes that were added %s after the end of the load and the faults", n.id, r.RecoveryTimeout)
+			}
+			time.Sleep(pollInterval)
+		}
 	}
 	return nil
 }
@@ -156,7 +173,7 @@
 		if config.Sections.Domains[d].State == note.InService {
 			continue
 		}
-		if err := e.runCommand("domain", "in", d); err != nil {
+		if err := e.runCommand("domain", "in", "-wait=false", d); err != nil {
 			return err
 		}
 	}
