news: send configurations compressed, in a call with a limit of its own

With 2,500 routes most VMs of the grown deployments never got the configuration: callers were answered by version 7 more than 3 s after version 9 was confirmed, and got 404 for routes that had been added. Cause: a fetch from another VM took the whole configuration as JSON, 0.6 MB and more, within 0.4 s. On a link of 10 Mbit/s no attempt could succeed, and each one that was given up went on filling the link, so that smaller calls failed, too. The call that refreshes the state only names the revision of the configuration. TestReaders/config large_configurations_over_slow_links and large_configurations_over_slow_links_with_frozen_readers play links of 10 Mbit/s.

--- a/news/fetch.go
+++ b/news/fetch.go
@@ -6,7 +6,6 @@
 
 	"bergamotworks/fault"
 	"bergamotworks/member"
-	"bergamotworks/site"
 )
 
 // fetchFromPeers fetches newer state from some live nodes.
@@ -31,31 +30,41 @@
 
 // fetch fetches newer state from another node and applies it.
 func (s *Service) fetch(ctx context.Context, vm string) (update, error) {
+	sent := s.Clock.Now()
+	u, err := s.fetchParts(ctx, vm)
+	s.recordFetch(ctx, vm, s.Clock.Now().Sub(sent), err)
+	if err != nil {
+		return update{}, err
+	}
+	if u.OperatorAge < maxAge {
+		s.confirmOperatorState(sent.Add(-u.OperatorAge))
+	}
+	return u, nil
+}
+
+// fetchParts fetches the directory and the drained failure domains and, by a call
+// of its own, a newer configuration. A large configuration on a slow network link
+// then delays nothing else.
+func (s *Service) fetchParts(ctx context.Context, vm string) (update, error) {
 	callCtx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	s.mutex.Lock()
 	local := s.state.revisions()
 	s.mutex.Unlock()
 	var u update
-	sent := s.Clock.Now()
-	err := s.Peers.Call(callCtx, vm, MethodFetch, local, &u)
-	s.recordFetch(ctx, vm, s.Clock.Now().Sub(sent), err)
-	if err != nil {
+	if err := s.Peers.Call(callCtx, vm, MethodFetch, local, &u); err != nil {
 		return update{}, err
 	}
 	s.apply(vm, u)
-	if u.OperatorAge < maxAge {
-		s.confirmOperatorState(sent.Add(-u.OperatorAge))
+	if u.ConfigRevision <= s.Config().Revision {
+		return u, nil
 	}
-	return u, nil
+	return u, s.fetchConfig(ctx, vm)
 }
 
 // apply merges the update of another node.
 func (s *Service) apply(vm string, u update) {
 	sn := Snapshot{DrainedDomains: u.DrainedDomains}
-	if u.Config != nil {
-		sn.Config = site.NewConfig(*u.Config)
-	}
 	if u.Directory != nil {
 		sn.Directory = shiftTimes(*u.Directory, s.Clock.Now().Sub(u.Now))
 	}
@@ -78,8 +87,8 @@
 	now := s.Clock.Now()
 	directoryAge, operatorAge := s.ages(now)
 	u := update{Now: now, Age: directoryAge, OperatorAge: operatorAge, GraceRemaining: s.state.GraceRemaining(now)}
-	if c := s.state.Config(); c.Loaded() && c.Revision > remote.ConfigRevision {
-		u.Config = &c
+	if c := s.state.Config(); c.Loaded() {
+		u.ConfigRevision = c.Revision
 	}
 	if d := s.state.registered; d.Loaded() && d.Revision > remote.DirectoryRevision {
 		u.Directory = &d
@@ -87,7 +96,7 @@
 	if d := s.state.drained; d != nil && d.Revision > remote.DrainedDomainsRevision {
 		u.DrainedDomains = d
 	}
-	if u.Config == nil && u.Directory == nil && !s.state.Config().Loaded() {
+	if u.Directory == nil && !s.state.Config().Loaded() {
 		return update{}, fault.New(fault.Unavailable, fault.NotRun, "nothing is known here")
 	}
 	return u, nil
--- a/news/reader_test.go
+++ b/news/reader_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"encoding/base64"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -47,6 +48,11 @@
 	ConfigChangesMS []int        `json:"config_changes_ms"`
 	MaxConfigLagMS  int          `json:"max_config_lag_ms"`
 	Impairments     []impairment `json:"impairments"`
+	// Routes is the number of routes of each configuration, and
+	// LinkBytesPerSecond the bandwidth of each node's link; zero means that
+	// transfers take no time.
+	Routes             int `json:"routes"`
+	LinkBytesPerSecond int `json:"link_bytes_per_second"`
 	// Heartbeats means that the nodes learn each other's revisions from
 	// heartbeats.
 	Heartbeats bool `json:"heartbeats"`
@@ -130,7 +136,11 @@
 	names         []string
 	random        ports.Random
 	readers       []member.VM
-	impaired      map[string]string // Kind of impairment by VM.
+	routes        int
+	// linkBytesPerSecond is the bandwidth of each node's link; zero means that
+	// transfers take no time.
+	linkBytesPerSecond int
+	impaired           map[string]string // Kind of impairment by VM.
 }
 
 type readersNode struct {
@@ -140,12 +150,14 @@
 	cancel  context.CancelFunc
 	done    chan struct{}
 	dead    atomic.Bool
+	// linkFree is the time at which all that was sent to the node has arrived.
+	linkFree time.Time
 }
 
 func newReadersEnv(c readersCase, seed uint64) *readersEnv {
 	e := &readersEnv{
 		started: time.Now(), nodes: make(map[string]*readersNode), revision: 1, rejected: make(map[string]bool),
-		configs: []time.Time{time.Now()}, configChanged: make(chan struct{}), impaired: make(map[string]string),
+		routes: c.Routes, linkBytesPerSecond: c.LinkBytesPerSecond, configs: []time.Time{time.Now()}, configChanged: make(chan struct{}), impaired: make(map[string]string),
 	}
 	e.recentFrom = e.started.Add(time.Duration(c.Seconds-5) * time.Second)
 	var vms []member.VM
@@ -358,7 +370,24 @@
 		return OperatorState{}, fault.New(fault.Unavailable, fault.NotRun, "rejected by the store")
 	}
 	revision, _ := n.configRevision()
-	return OperatorState{Config: site.NewConfig(site.Config{Revision: revision}), Revision: revision}, nil
+	o := OperatorState{Config: n.env.config(revision), Revision: revision}
+	text, err := json.Marshal(o.Config)
+	if err != nil {
+		return OperatorState{}, err
+	}
+	return o, n.receive(ctx, base64.StdEncoding.EncodedLen(len(text)))
+}
+
+// config returns the configuration of a revision.
+func (e *readersEnv) config(revision int64) site.Config {
+	c := site.Config{Revision: revision}
+	for i := range e.routes {
+		c.Routes = append(c.Routes, site.Route{
+			Name: fmt.Sprintf("route-%d", i), Host: "app.example", Prefix: fmt.Sprintf("/%x/", i*i), Kind: site.Idempotent,
+			Timeout: 3 * time.Second, MaxAttempts: 2, Backends: []site.Backend{{Service: "service", Weight: 1}},
+		})
+	}
+	return site.NewConfig(c)
 }
 
 // configRevision returns the revision of the configuration, and a channel that
@@ -398,8 +427,9 @@
 	}
 }
 
-// Call calls HandleFetch of another node after a delay of 2 ms.
-func (n *readersNode) Call(ctx context.Context, vm, _ string, params, result any) error {
+// Call calls a method of another node after a delay of 2 ms. The result takes its
+// time on the link of the caller.
+func (n *readersNode) Call(ctx context.Context, vm, method string, params, result any) error {
 	time.Sleep(2 * time.Millisecond)
 	other := n.env.nodes[vm]
 	if n.impairment() == frozen || other.impairment() == frozen {
@@ -409,13 +439,45 @@
 	if other.dead.Load() {
 		return fault.New(fault.Unavailable, fault.NotRun, "no connection to %s", vm)
 	}
-	u, err := other.service.HandleFetch(ctx, params.(revisions))
+	data, err := other.handle(ctx, method, params)
 	if err != nil {
 		return err
 	}
-	text, err := json.Marshal(u)
+	text, err := json.Marshal(data)
 	if err != nil {
 		return err
 	}
+	if err := n.receive(ctx, len(text)); err != nil {
+		return err
+	}
 	return json.Unmarshal(text, result)
 }
+
+func (n *readersNode) handle(ctx context.Context, method string, params any) (any, error) {
+	if method == MethodFetchConfig {
+		return n.service.HandleFetchConfig(ctx, params.(configRequest))
+	}
+	return n.service.HandleFetch(ctx, params.(revisions))
+}
+
+// receive waits until a number of bytes has arrived on the node's link, behind all
+// that was sent to it before.
+func (n *readersNode) receive(ctx context.Context, size int) error {
+	rate := n.env.linkBytesPerSecond
+	if rate == 0 {
+		return nil
+	}
+	n.env.mutex.Lock()
+	if now := time.Now(); n.linkFree.Before(now) {
+		n.linkFree = now
+	}
+	n.linkFree = n.linkFree.Add(time.Duration(size) * time.Second / time.Duration(rate))
+	wait := time.Until(n.linkFree)
+	n.env.mutex.Unlock()
+	select {
+	case <-ctx.Done():
+		return fault.From(ctx.Err())
+	case <-time.After(wait):
+		return nil
+	}
+}
--- a/news/service.go
+++ b/news/service.go
@@ -88,6 +88,7 @@
 	operatorsAsOf time.Time
 	pauses        pauseDetector
 	reported      report
+	encoded       configCache
 	fetches       sync.WaitGroup
 	lastReadError time.Time // Last failed read by loopRefresh, which alone uses it.
 
@@ -106,7 +107,7 @@
 // update is the state that is newer than the revisions of the receiver; the
 // result of MethodFetch.
 type update struct {
-	Config         *site.Config    `json:"config,omitempty"`
+	ConfigRevision int64           `json:"version"` // Of the sender's configuration; zero if it has none.
 	Directory      *site.Directory `json:"directory,omitempty"`
 	DrainedDomains *DrainedDomains `json:"departures,omitempty"`
 	// Now is the time by the sender's clock.
--- /dev/null
+++ b/news/transfer.go
@@ -0,0 +1,124 @@
+package news
+
+import (
+	"bytes"
+	"compress/flate"
+	"context"
+	"encoding/json"
+	"io"
+	"sync"
+	"time"
+
+	"bergamotworks/fault"
+	"bergamotworks/site"
+)
+
+// MethodFetchConfig is the method by which a node fetches the configuration of
+// another.
+const MethodFetchConfig = "news.config"
+
+const (
+	// transferTimeout bounds the transfer of a configuration, which may take much
+	// longer than other calls on a slow network link.
+	transferTimeout = 1 * time.Second
+	// maxConfigBytes is the size limit of a configuration in JSON.
+	maxConfigBytes = 32 << 20
+)
+
+// configRequest asks for a configuration newer than a revision.
+type configRequest struct {
+	Revision int64 `json:"revision"`
+}
+
+// configReply is a configuration.
+type configReply struct {
+	Revision int64  `json:"revision"`
+	Data     []byte `json:"data"` // Compressed JSON, made by encodeConfig.
+}
+
+// configCache holds the newest configuration in the form in which it is sent, as
+// many nodes fetch it at the same time.
+type configCache struct {
+	mutex sync.Mutex
+	reply configReply
+}
+
+// get returns the reply for a configuration.
+func (c *configCache) get(config site.Config) (configReply, error) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.reply.Data != nil && c.reply.Revision == config.Revision {
+		return c.reply, nil
+	}
+	data, err := encodeConfig(config)
+	if err != nil {
+		return configReply{}, err
+	}
+	c.reply = configReply{Revision: config.Revision, Data: data}
+	return c.reply, nil
+}
+
+func encodeConfig(config site.Config) ([]byte, error) {
+	var out bytes.Buffer
+	w, err := flate.NewWriter(&out, flate.BestSpeed)
+	if err != nil {
+		return nil, err
+	}
+	if err := json.NewEncoder(w).Encode(config); err != nil {
+		return nil, err
+	}
+	if err := w.Close(); err != nil {
+		return nil, err
+	}
+	return out.Bytes(), nil
+}
+
+func decodeConfig(data []byte) (site.Config, error) {
+	r := flate.NewReader(bytes.NewReader(data))
+	text, err := io.ReadAll(io.LimitReader(r, maxConfigBytes))
+	if err != nil {
+		return site.Config{}, err
+	}
+	var config site.Config
+	if err := json.Unmarshal(text, &config); err != nil {
+		return site.Config{}, err
+	}
+	return site.NewConfig(config), nil
+}
+
+// HandleFetchConfig returns the configuration of this node. It returns a NotFound
+// error if that is not newer than the revision in the request.
+func (s *Service) HandleFetchConfig(_ context.Context, request configRequest) (configReply, error) {
+	config := s.Config()
+	if !config.Loaded() || config.Revision <= request.Revision {
+		return configReply{}, fault.New(fault.NotFound, fault.NotRun, "no configuration after revision %d", request.Revision)
+	}
+	reply, err := s.encoded.get(config)
+	if err != nil {
+		return configReply{}, fault.New(fault.Internal, fault.NotRun, "encode configuration %d: %s", config.Revision, err)
+	}
+	return reply, nil
+}
+
+// fetchConfig fetches and activates the configuration of another node unless it is
+// older than that of this node by then.
+func (s *Service) fetchConfig(ctx context.Context, vm string) error {
+	ctx, cancel := context.WithTimeout(ctx, transferTimeout)
+	defer cancel()
+	var reply configReply
+	if err := s.Peers.Call(ctx, vm, MethodFetchConfig, configRequest{Revision: s.Config().Revision}, &reply); err != nil {
+		return err
+	}
+	if reply.Revision <= s.Config().Revision {
+		return nil
+	}
+	config, err := decodeConfig(reply.Data)
+	if err != nil {
+		return fault.New(fault.Internal, fault.NotRun, "configuration %d of %s: %s", reply.Revision, vm, err)
+	}
+	s.mutex.Lock()
+	change := s.state.ApplyPeer(s.Clock.Now(), Snapshot{Config: config})
+	s.mutex.Unlock()
+	s.logChange(change, vm)
+	return nil
+}
