news: read a large configuration from the store over a slow link

A VM on a link of 10 Mbit/s that falls back to the store never got a configuration of about 1 MB: the read was given up after 0.8 s, whether the store did not respond or the response was on its way, and each attempt filled the link again. A failed read also counted as an outage of the store, so that expired entries of targets were retained. The store must begin to respond within 0.8 s as before (Call.HeaderTimeout); the whole read may take 2.5 s. A fallback first asks whether anything has changed since the revision that is known to be in the node's state, and reads only then. Only a failed read of the directory marks an outage.

--- a/news/log.go
+++ b/news/log.go
@@ -47,15 +47,12 @@
 	}).Info("watch of the operator state failed")
 }
 
-// recordReadError records and logs a failed read of the store.
+// recordReadError counts and logs a failed read of the store.
 func (s *Service) recordReadError(ctx context.Context, subject string, err error) {
 	if ctx.Err() != nil {
 		return
 	}
-	s.mutex.Lock()
-	s.state.StoreReadFailed()
-	age := s.Clock.Now().Sub(s.lastStoreRead)
-	s.mutex.Unlock()
+	age := s.TimeSinceStoreRead()
 	s.Metrics.GetOrCreateCounter("news_failed_reads_total").Inc()
 	s.Log.WithFields(logrus.Fields{"what": subject, "silent_ms": age.Milliseconds(), "error": err.Error()}).Warn("failed to read the store")
 }
--- a/news/reader_test.go
+++ b/news/reader_test.go
@@ -351,12 +351,14 @@
 	return n.env.impaired[n.service.Self]
 }
 
-// awaitStore blocks until the context ends if the store does not respond to the
-// node.
+// awaitStore fails after readTimeout, or when the context ends, if the store does
+// not respond to the node.
 func (n *readersNode) awaitStore(ctx context.Context) error {
 	if i := n.impairment(); i != frozen && i != cutFromStore {
 		return nil
 	}
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
 	<-ctx.Done()
 	return fault.From(ctx.Err())
 }
--- a/news/service.go
+++ b/news/service.go
@@ -25,6 +25,10 @@
 	// all VMs together, while none of the store readers can.
 	fleetRetryInterval = 50 * time.Millisecond
 	readTimeout        = 800 * time.Millisecond
+	// operatorReadTimeout bounds a read of the operator state. A large
+	// configuration takes more than a second on a slow network link; a store that
+	// does not respond fails the read earlier.
+	operatorReadTimeout = 2500 * time.Millisecond
 	// operatorReadInterval is the time between two reads of the operator state
 	// beside the watch, which may have missed a change while the store dropped
 	// its history.
@@ -34,6 +38,7 @@
 	// response may take watchSlack longer.
 	watchWait     = 1200 * time.Millisecond
 	watchSlack    = 200 * time.Millisecond
+	minWatchWait  = 1 * time.Millisecond // Of a watch that only looks for past changes.
 	peerTimeout   = 400 * time.Millisecond
 	maxFetchPeers = 2 // Maximum number of nodes called in one refresh.
 )
@@ -47,7 +52,8 @@
 	Directory(ctx context.Context) (site.Directory, error)
 	// OperatorState returns the configuration and the drained failure domains,
 	// with the revision of the store. The configuration is not loaded if the
-	// store holds none or an invalid one.
+	// store holds none or an invalid one. It fails before the context ends if
+	// the store does not begin to respond.
 	OperatorState(ctx context.Context) (OperatorState, error)
 	// WaitForChange reports whether the configuration or the drained failure
 	// domains have changed, or may have changed, after a revision. It returns at
@@ -86,11 +92,14 @@
 	// operatorsAsOf is the latest time at which the store is known to have held
 	// the operator state of this node. It may be zero.
 	operatorsAsOf time.Time
-	pauses        pauseDetector
-	reported      report
-	encoded       configCache
-	fetches       sync.WaitGroup
-	lastReadError time.Time // Last failed read by loopRefresh, which alone uses it.
+	// operatorRevision is the latest revision of the store of which that is known;
+	// zero if there is none.
+	operatorRevision int64
+	pauses           pauseDetector
+	reported         report
+	encoded          configCache
+	fetches          sync.WaitGroup
+	lastReadError    time.Time // Last failed read by loopRefresh, which alone uses it.
 
 	setup sync.Once
 	wake  chan struct{} // Wakes loopReported.
@@ -118,6 +127,8 @@
 	// OperatorAge is the time since the store is known to have held the sender's
 	// operator state.
 	OperatorAge time.Duration `json:"operator_age_ns"`
+	// OperatorRevision is the latest revision of the store of which that is known.
+	OperatorRevision int64 `json:"operator_revision"`
 	// GraceRemaining is how long the sender still retains expired entries.
 	GraceRemaining time.Duration `json:"keep_ns,omitempty"`
 }
@@ -175,13 +186,14 @@
 }
 
 // confirmOperatorState records that the store held the operator state of this
-// node, or an older one, at the given time.
-func (s *Service) confirmOperatorState(asOf time.Time) {
+// node, or an older one, at the given time and at a revision of the store.
+func (s *Service) confirmOperatorState(asOf time.Time, revision int64) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if asOf.After(s.operatorsAsOf) {
 		s.operatorsAsOf = asOf
 	}
+	s.operatorRevision = max(s.operatorRevision, revision)
 }
 
 // loopOperatorState reads and watches what operators write while this VM reads
@@ -225,7 +237,7 @@
 		return false
 	}
 	if !changed && took >= watchWait {
-		s.confirmOperatorState(sent.Add(watchWait))
+		s.confirmOperatorState(sent.Add(watchWait), revision)
 	}
 	return !changed
 }
@@ -233,7 +245,7 @@
 // readOperatorState reads the operator state and returns the store's revision,
 // zero if the read fails.
 func (s *Service) readOperatorState(ctx context.Context) (int64, error) {
-	callCtx, cancel := context.WithTimeout(ctx, readTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, operatorReadTimeout)
 	defer cancel()
 	sent := s.Clock.Now()
 	o, err := s.Source.OperatorState(callCtx)
@@ -241,7 +253,7 @@
 		s.recordReadError(ctx, "configuration", err)
 		return 0, err
 	}
-	defer s.confirmOperatorState(sent)
+	defer s.confirmOperatorState(sent, o.Revision)
 	s.mutex.Lock()
 	change := s.state.ApplyStore(s.Clock.Now(), Snapshot{
 		Config: o.Config, DrainedDomains: &DrainedDomains{Domains: o.DrainedDomains, Revision: o.Revision},
@@ -287,10 +299,37 @@
 	if !unwatched && s.OperatorStateAge() <= maxOperatorAge {
 		return nil
 	}
-	_, err := s.readOperatorState(ctx)
+	unchanged, err := s.checkUnchanged(ctx)
+	if err != nil || unchanged {
+		return err
+	}
+	_, err = s.readOperatorState(ctx)
 	return err
 }
 
+// checkUnchanged reports whether the store still holds the operator state of this
+// node. That costs little, where a read transfers the whole configuration.
+func (s *Service) checkUnchanged(ctx context.Context) (bool, error) {
+	s.mutex.Lock()
+	revision := s.operatorRevision
+	s.mutex.Unlock()
+	if revision == 0 {
+		return false, nil
+	}
+	callCtx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	sent := s.Clock.Now()
+	changed, err := s.Source.WaitForChange(callCtx, revision, minWatchWait)
+	if err != nil {
+		s.recordWatchError(ctx, s.Clock.Now().Sub(sent), err)
+		return false, err
+	}
+	if !changed {
+		s.confirmOperatorState(sent, revision)
+	}
+	return !changed, nil
+}
+
 // fallbackInterval returns the time between two attempts of a VM that is no
 // store reader to read the store while no store reader can. It grows with the
 // fleet, which would otherwise overload a store that recovers.
@@ -322,6 +361,7 @@
 	defer cancel()
 	d, err := s.Source.Directory(callCtx)
 	if err != nil {
+		s.directoryReadFailed(ctx)
 		s.recordReadError(ctx, "directory", err)
 		return err
 	}
@@ -338,6 +378,17 @@
 	return nil
 }
 
+// directoryReadFailed records an outage of the store, in which entries of targets
+// may expire that still run.
+func (s *Service) directoryReadFailed(ctx context.Context) {
+	if ctx.Err() != nil {
+		return
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.state.StoreReadFailed()
+}
+
 // sleep reports false if the context was canceled.
 func (s *Service) sleep(ctx context.Context, wait time.Duration) bool {
 	select {
--- a/news/state.go
+++ b/news/state.go
@@ -60,7 +60,7 @@
 // Directory returns the active directory.
 func (s *State) Directory() site.Directory { return s.directory }
 
-// StoreReadFailed records that the store could not be read.
+// StoreReadFailed records that the directory could not be read from the store.
 func (s *State) StoreReadFailed() { s.inOutage = true }
 
 // PeerReadStore records that a store reader has read the store. The grace
--- a/wire/client.go
+++ b/wire/client.go
@@ -52,6 +52,9 @@
 	// NewConnection prevents the reuse of an idle connection, whose failure could
 	// leave the outcome of the call unknown.
 	NewConnection bool
+	// HeaderTimeout bounds the time until the header of the response is complete;
+	// zero means that only the context does.
+	HeaderTimeout time.Duration
 	// Correlation is the header field that the response repeats, with its value
 	// in the request. A response with another value belongs to another request
 	// and is skipped. A response with a status of 400 or more may omit the field.
@@ -84,21 +87,33 @@
 	if err != nil {
 		return nil, err
 	}
-	stop := context.AfterFunc(ctx, func() { Discard(conn) })
+	headerCtx, cancel := call.headerContext(ctx)
+	defer cancel()
+	stop := context.AfterFunc(headerCtx, func() { Discard(conn) })
 	writer, err := send(conn, call)
 	var r *Response
 	if err == nil {
 		r, err = awaitResponse(conn, call)
 	}
+	stop()
 	if err != nil {
-		stop()
 		writer.abort()
-		return nil, lostResponse(ctx, call.Address, err)
+		return nil, lostResponse(headerCtx, call.Address, err)
 	}
-	r.client, r.stop, r.writer = c, stop, writer
+	r.client, r.writer = c, writer
+	r.stop = context.AfterFunc(ctx, func() { Discard(conn) })
 	return r, nil
 }
 
+// headerContext returns the context that applies until the header of the response
+// is complete.
+func (c Call) headerContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	if c.HeaderTimeout == 0 {
+		return ctx, func() {}
+	}
+	return context.WithTimeout(ctx, c.HeaderTimeout)
+}
+
 // Close closes the idle connections. Connections in use are closed instead of
 // reused later.
 func (c *Client) Close() { c.idle.Close() }
