serve: report not ready while a newer configuration can't be fetched

A VM stayed ready while it knew for seconds that another VM had a newer configuration that it could not fetch: new clients came to it and were answered by the old one. The store being away is no reason; a live VM that has the newer configuration is. After 2 s the VM reports that it is not ready, until it has the configuration or no live VM does.

--- a/news/report.go
+++ b/news/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"bergamotworks/member"
 )
@@ -14,6 +15,7 @@
 type report struct {
 	vm       string
 	revision int64
+	since    time.Time // When this node was first known to lack a newer configuration.
 }
 
 func (s *Service) prepare() {
@@ -27,7 +29,11 @@
 	s.mutex.Lock()
 	newer := revision > s.state.Config().Revision && revision > s.reported.revision
 	if newer {
-		s.reported = report{vm: vm, revision: revision}
+		since := s.reported.since
+		if s.reported.revision <= s.state.Config().Revision {
+			since = s.Clock.Now()
+		}
+		s.reported = report{vm: vm, revision: revision, since: since}
 	}
 	s.mutex.Unlock()
 	if !newer {
@@ -47,6 +53,30 @@
 	return s.reported.revision > s.state.Config().Revision
 }
 
+// OutdatedFor returns how long this node has lacked a newer configuration that a
+// live VM has, zero if it lacks none.
+func (s *Service) OutdatedFor() time.Duration {
+	s.mutex.Lock()
+	current, r := s.state.Config().Revision, s.reported
+	s.mutex.Unlock()
+	if r.revision <= current || len(s.newerVMs(current)) == 0 {
+		return 0
+	}
+	return s.Clock.Now().Sub(r.since)
+}
+
+// newerVMs returns the live VMs that have reported a newer configuration than the
+// given revision.
+func (s *Service) newerVMs(revision int64) []member.VM {
+	var newer []member.VM
+	for _, m := range s.View().Live() {
+		if m.Attributes.Revision > revision {
+			newer = append(newer, m)
+		}
+	}
+	return newer
+}
+
 // loopReported fetches configurations that other VMs report.
 func (s *Service) loopReported(ctx context.Context) error {
 	for {
@@ -86,13 +116,7 @@
 	if r.vm != "" {
 		return r.vm, true
 	}
-	var newer []member.VM
-	for _, m := range s.View().Live() {
-		if m.Attributes.Revision > current {
-			newer = append(newer, m)
-		}
-	}
-	vms := s.randomPeers(newer)
+	vms := s.randomPeers(s.newerVMs(current))
 	if len(vms) == 0 {
 		return "", false
 	}
--- a/serve/node.go
+++ b/serve/node.go
@@ -29,6 +29,9 @@
 	// store counts as unreachable. A node that is also isolated from all other
 	// nodes is then not ready.
 	isolationTimeout = 6 * time.Second
+	// outdatedTimeout is how long the node may lack a configuration that another
+	// VM is known to have and still be ready.
+	outdatedTimeout = 2 * time.Second
 	// closeReserve is the part of the shutdown timeout that is reserved for
 	// closing connections.
 	closeReserve = 500 * time.Millisecond
@@ -174,6 +177,8 @@
 		return false, "no configuration"
 	case !n.news.Directory().Loaded():
 		return false, "no directory of targets"
+	case n.news.OutdatedFor() > outdatedTimeout:
+		return false, "a newer configuration could not be fetched"
 	case n.isolated():
 		return false, "neither the store nor another node answers"
 	}
