--- a/news/service.go
+++ b/news/service.go
@@ -168,101 +168,6 @@
 	return s.Clock.Now().Sub(s.lastStoreRead)
 }
 
-// OperatorStateAge returns the time since the store is known to have held the
-// operator state of this node. Before the first read, and after a pause of the VM
-// until the next one, it is the maximum duration.
-func (s *Service) OperatorStateAge() time.Duration {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	_, operators := s.ages(s.Clock.Now())
-	return operators
-}
-
-// ages returns the ages of the directory and of the operator state. The mutex is
-// held.
-func (s *Service) ages(now time.Time) (directory, operators time.Duration) {
-	s.pauses.observe(now)
-	return s.pauses.age(now, s.lastStoreRead), s.pauses.age(now, s.operatorsAsOf)
-}
-
-// confirmOperatorState records that the store held the operator state of this
-// node, or an older one, at the given time and at a revision of the store.
-func (s *Service) confirmOperatorState(asOf time.Time, revision int64) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	if asOf.After(s.operatorsAsOf) {
-		s.operatorsAsOf = asOf
-	}
-	s.operatorRevision = max(s.operatorRevision, revision)
-}
-
-// loopOperatorState reads and watches what operators write while this VM reads
-// the store itself.
-func (s *Service) loopOperatorState(ctx context.Context) error {
-	var revision int64 // Zero if the operator state must be read.
-	var readAt time.Time
-	for ctx.Err() == nil {
-		if !s.readsStore() {
-			revision = 0
-			if !s.sleep(ctx, fetchInterval) {
-				return nil
-			}
-			continue
-		}
-		if revision != 0 && s.Clock.Now().Sub(readAt) < operatorReadInterval {
-			if !s.watchUnchanged(ctx, revision) {
-				revision = 0
-			}
-			continue
-		}
-		var err error
-		readAt = s.Clock.Now()
-		if revision, err = s.readOperatorState(ctx); err != nil && !s.sleep(ctx, retryInterval) {
-			return nil
-		}
-	}
-	return nil
-}
-
-// watchUnchanged watches the operator state for watchWait and reports whether it
-// is known to be the same as at a revision of the store.
-func (s *Service) watchUnchanged(ctx context.Context, revision int64) bool {
-	callCtx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
-	defer cancel()
-	sent := s.Clock.Now()
-	changed, err := s.Source.WaitForChange(callCtx, revision, watchWait)
-	took := s.Clock.Now().Sub(sent)
-	if err != nil {
-		s.recordWatchError(ctx, took, err)
-		return false
-	}
-	if !changed && took >= watchWait {
-		s.confirmOperatorState(sent.Add(watchWait), revision)
-	}
-	return !changed
-}
-
-// readOperatorState reads the operator state and returns the store's revision,
-// zero if the read fails.
-func (s *Service) readOperatorState(ctx context.Context) (int64, error) {
-	callCtx, cancel := context.WithTimeout(ctx, operatorReadTimeout)
-	defer cancel()
-	sent := s.Clock.Now()
-	o, err := s.Source.OperatorState(callCtx)
-	if err != nil {
-		s.recordReadError(ctx, "configuration", err)
-		return 0, err
-	}
-	defer s.confirmOperatorState(sent, o.Revision)
-	s.mutex.Lock()
-	change := s.state.ApplyStore(s.Clock.Now(), Snapshot{
-		Config: o.Config, DrainedDomains: &DrainedDomains{Domains: o.DrainedDomains, Revision: o.Revision},
-	})
-	s.mutex.Unlock()
-	s.logChange(change, "store")
-	return o.Revision, nil
-}
-
 // loopRefresh refreshes the state periodically.
 func (s *Service) loopRefresh(ctx context.Context) error {
 	for {
@@ -307,29 +212,6 @@
 	return err
 }
 
-// checkUnchanged reports whether the store still holds the operator state of this
-// node. That costs little, where a read transfers the whole configuration.
-func (s *Service) checkUnchanged(ctx context.Context) (bool, error) {
-	s.mutex.Lock()
-	revision := s.operatorRevision
-	s.mutex.Unlock()
-	if revision == 0 {
-		return false, nil
-	}
-	callCtx, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
-	sent := s.Clock.Now()
-	changed, err := s.Source.WaitForChange(callCtx, revision, minWatchWait)
-	if err != nil {
-		s.recordWatchError(ctx, s.Clock.Now().Sub(sent), err)
-		return false, err
-	}
-	if !changed {
-		s.confirmOperatorState(sent, revision)
-	}
-	return !changed, nil
-}
-
 // fallbackInterval returns the time between two attempts of a VM that is no
 // store reader to read the store while no store reader can. It grows with the
 // fleet, which would otherwise overload a store that recovers.
