news: exchange state with VMs of the version before

While a fleet is upgraded, a new VM would have taken an old one's silence on its configuration for "nothing newer" and its missing age for "just confirmed", and an old VM would never have got a configuration from a new one: callers would have been answered by old configurations until the end of the upgrade. A VM says that it fetches configurations separately; others get them as before. Operator state of a VM that names no revision has no age, so that the store is read. The compression moves to wire, for the other user of it.

--- a/news/fetch.go
+++ b/news/fetch.go
@@ -6,6 +6,7 @@
 
 	"bergamotworks/fault"
 	"bergamotworks/member"
+	"bergamotworks/site"
 )
 
 // fetchFromPeers fetches newer state from some live nodes.
@@ -50,12 +51,16 @@
 	defer cancel()
 	s.mutex.Lock()
 	local := s.state.revisions()
+	local.FetchesConfig = true
 	s.mutex.Unlock()
 	var u update
 	if err := s.Peers.Call(callCtx, vm, MethodFetch, local, &u); err != nil {
 		return update{}, err
 	}
 	s.apply(vm, u)
+	if u.ConfigRevision == 0 {
+		u.OperatorAge = maxAge // A VM of an earlier version does not state it.
+	}
 	if u.ConfigRevision <= s.Config().Revision {
 		return u, nil
 	}
@@ -65,6 +70,9 @@
 // apply merges the update of another node.
 func (s *Service) apply(vm string, u update) {
 	sn := Snapshot{DrainedDomains: u.DrainedDomains}
+	if u.Config != nil {
+		sn.Config = site.NewConfig(*u.Config)
+	}
 	if u.Directory != nil {
 		sn.Directory = shiftTimes(*u.Directory, s.Clock.Now().Sub(u.Now))
 	}
@@ -89,6 +97,9 @@
 	u := update{Now: now, Age: directoryAge, OperatorAge: operatorAge, OperatorRevision: s.operatorRevision, GraceRemaining: s.state.GraceRemaining(now)}
 	if c := s.state.Config(); c.Loaded() {
 		u.ConfigRevision = c.Revision
+		if !remote.FetchesConfig && c.Revision > remote.ConfigRevision {
+			u.Config = &c
+		}
 	}
 	if d := s.state.registered; d.Loaded() && d.Revision > remote.DirectoryRevision {
 		u.Directory = &d
--- a/news/service.go
+++ b/news/service.go
@@ -111,12 +111,18 @@
 	ConfigRevision         int64 `json:"version"`
 	DirectoryRevision      int64 `json:"revision"`
 	DrainedDomainsRevision int64 `json:"departures"`
+	// FetchesConfig means that the sender fetches configurations by
+	// MethodFetchConfig. VMs of earlier versions do not.
+	FetchesConfig bool `json:"fetches_config"`
 }
 
 // update is the state that is newer than the revisions of the receiver; the
 // result of MethodFetch.
 type update struct {
-	ConfigRevision int64           `json:"version"` // Of the sender's configuration; zero if it has none.
+	// ConfigRevision is the revision of the sender's configuration; zero if it has
+	// none or is a VM of an earlier version, which sends Config.
+	ConfigRevision int64           `json:"version"`
+	Config         *site.Config    `json:"config,omitempty"` // Only between VMs of different versions.
 	Directory      *site.Directory `json:"directory,omitempty"`
 	DrainedDomains *DrainedDomains `json:"departures,omitempty"`
 	// Now is the time by the sender's clock.
--- a/news/transfer.go
+++ b/news/transfer.go
@@ -1,29 +1,22 @@
 package news
 
 import (
-	"bytes"
-	"compress/flate"
 	"context"
-	"encoding/json"
-	"io"
 	"sync"
 	"time"
 
 	"bergamotworks/fault"
 	"bergamotworks/site"
+	"bergamotworks/wire"
 )
 
 // MethodFetchConfig is the method by which a node fetches the configuration of
 // another.
 const MethodFetchConfig = "news.config"
 
-const (
-	// transferTimeout bounds the transfer of a configuration, which may take much
-	// longer than other calls on a slow network link.
-	transferTimeout = 1 * time.Second
-	// maxConfigBytes is the size limit of a configuration in JSON.
-	maxConfigBytes = 32 << 20
-)
+// transferTimeout bounds the transfer of a configuration, which may take much
+// longer than other calls on a slow network link.
+const transferTimeout = 1 * time.Second
 
 // configRequest asks for a configuration newer than a revision.
 type configRequest struct {
@@ -33,7 +26,7 @@
 // configReply is a configuration.
 type configReply struct {
 	Revision int64  `json:"revision"`
-	Data     []byte `json:"data"` // Compressed JSON, made by encodeConfig.
+	Data     []byte `json:"data"` // The configuration, made by wire.Compress.
 }
 
 // configCache holds the newest configuration in the form in which it is sent, as
@@ -50,7 +43,7 @@
 	if c.reply.Data != nil && c.reply.Revision == config.Revision {
 		return c.reply, nil
 	}
-	data, err := encodeConfig(config)
+	data, err := wire.Compress(config)
 	if err != nil {
 		return configReply{}, err
 	}
@@ -58,34 +51,6 @@
 	return c.reply, nil
 }
 
-func encodeConfig(config site.Config) ([]byte, error) {
-	var out bytes.Buffer
-	w, err := flate.NewWriter(&out, flate.BestSpeed)
-	if err != nil {
-		return nil, err
-	}
-	if err := json.NewEncoder(w).Encode(config); err != nil {
-		return nil, err
-	}
-	if err := w.Close(); err != nil {
-		return nil, err
-	}
-	return out.Bytes(), nil
-}
-
-func decodeConfig(data []byte) (site.Config, error) {
-	r := flate.NewReader(bytes.NewReader(data))
-	text, err := io.ReadAll(io.LimitReader(r, maxConfigBytes))
-	if err != nil {
-		return site.Config{}, err
-	}
-	var config site.Config
-	if err := json.Unmarshal(text, &config); err != nil {
-		return site.Config{}, err
-	}
-	return site.NewConfig(config), nil
-}
-
 // HandleFetchConfig returns the configuration of this node. It returns a NotFound
 // error if that is not newer than the revision in the request.
 func (s *Service) HandleFetchConfig(_ context.Context, request configRequest) (configReply, error) {
@@ -112,12 +77,12 @@
 	if reply.Revision <= s.Config().Revision {
 		return nil
 	}
-	config, err := decodeConfig(reply.Data)
-	if err != nil {
+	var config site.Config
+	if err := wire.Decompress(reply.Data, &config); err != nil {
 		return fault.New(fault.Internal, fault.NotRun, "configuration %d of %s: %s", reply.Revision, vm, err)
 	}
 	s.mutex.Lock()
-	change := s.state.ApplyPeer(s.Clock.Now(), Snapshot{Config: config})
+	change := s.state.ApplyPeer(s.Clock.Now(), Snapshot{Config: site.NewConfig(config)})
 	s.mutex.Unlock()
 	s.logChange(change, vm)
 	return nil
