conf: send the parts of a configuration compressed

A part may have 1 MB, which takes 0.8 s on a link of 10 Mbit/s, and each attempt that is given up fills the link again; the node then waits for its next read of the store, 5 s or more. The parts are compressed if the requester accepts that, so that VMs of the version before are served as they were.

--- a/conf/fetch.go
+++ b/conf/fetch.go
@@ -6,6 +6,7 @@
 	"maps"
 
 	"bergamotworks/fault"
+	"bergamotworks/wire"
 )
 
 // Names of the methods that a node registers for its peers.
@@ -20,6 +21,9 @@
 type FetchRequest struct {
 	Revision int64  `json:"revision"`
 	Checksum string `json:"checksum,omitempty"`
+	// AcceptCompressed means that the response may have CompressedParts. VMs of
+	// earlier versions do not understand them.
+	AcceptCompressed bool `json:"accept_compressed,omitempty"`
 }
 
 // FetchResponse holds the parts that differ from the configuration of the
@@ -31,7 +35,10 @@
 	Checksum string                     `json:"checksum,omitempty"`
 	Full     bool                       `json:"full,omitempty"`
 	Parts    map[string]json.RawMessage `json:"sections,omitempty"`
-	Removed  []string                   `json:"removed,omitempty"`
+	// CompressedParts holds Parts as made by wire.Compress, if the request accepts
+	// that.
+	CompressedParts []byte   `json:"compressed_sections,omitempty"`
+	Removed         []string `json:"removed,omitempty"`
 }
 
 // RevisionAnnouncement reports the revision that is active on a VM.
@@ -66,7 +73,21 @@
 			response.Removed = append(response.Removed, name)
 		}
 	}
-	return response, nil
+	if !request.AcceptCompressed {
+		return response, nil
+	}
+	return response.compressed()
+}
+
+// compressed returns the response with its parts compressed, so that a large
+// configuration passes a slow network link within peerCallTimeout.
+func (r FetchResponse) compressed() (FetchResponse, error) {
+	data, err := wire.Compress(r.Parts)
+	if err != nil {
+		return FetchResponse{}, fault.New(fault.Internal, fault.NotRun, "encode revision %d: %s", r.Revision, err)
+	}
+	r.Parts, r.CompressedParts = nil, data
+	return r, nil
 }
 
 // HandleAnnounce serves MethodAnnounce: it records the revision that a peer
@@ -99,7 +120,7 @@
 // It returns the peer's revision.
 func (s *Service) fetch(ctx context.Context, vm string) (int64, error) {
 	base := s.current.Load()
-	request := FetchRequest{Revision: base.revision()}
+	request := FetchRequest{Revision: base.revision(), AcceptCompressed: true}
 	if base != nil {
 		request.Checksum = base.checksum
 	}
@@ -126,6 +147,11 @@
 	for _, name := range r.Removed {
 		delete(parts, name)
 	}
+	if r.CompressedParts != nil {
+		if err := wire.Decompress(r.CompressedParts, &r.Parts); err != nil {
+			return nil, fault.New(fault.Internal, fault.NotRun, "revision %d: %s", r.Revision, err)
+		}
+	}
 	for name, content := range r.Parts {
 		p, err := newPart(name, content)
 		if err != nil {
