news: transfer the directory only when its targets have changed

The same cause as with large configurations, for the targets: a fetch carried the whole directory, as its revision is that of the store and moves with each heartbeat of a target. For 200 targets that is 50 KB each 0.6 s to each VM; for the 6,700 targets that are the aim it does not pass a link of 10 Mbit/s within 0.4 s, so that each VM would read the store itself and learn of a draining target or a configuration late or never. A fetch names the sender's directory by its revision and a hash of its targets. If the receiver has the same targets it takes over the revision; otherwise it fetches the directory by a call of its own, compressed. The hash leaves out the ends of warm-ups, so that the directory is sent while a target warms up. TestRandomState compares the targets of each node with those of its revision in 100,000 schedules; a first form by revisions instead of a hash failed there (targets that went and came back).

--- a/news/fetch.go
+++ b/news/fetch.go
@@ -43,16 +43,16 @@
 	return u, nil
 }
 
-// fetchParts fetches the directory and the drained failure domains and, by a call
-// of its own, a newer configuration. A large configuration on a slow network link
-// then delays nothing else.
+// fetchParts fetches the drained failure domains and, by calls of their own, a
+// newer directory and a newer configuration. Large ones on a slow network link
+// then delay nothing else.
 func (s *Service) fetchParts(ctx context.Context, vm string) (update, error) {
 	callCtx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	s.mutex.Lock()
 	local := s.state.revisions()
-	local.FetchesConfig = true
 	s.mutex.Unlock()
+	local.Transfers = true
 	var u update
 	if err := s.Peers.Call(callCtx, vm, MethodFetch, local, &u); err != nil {
 		return update{}, err
@@ -61,15 +61,30 @@
 	if u.ConfigRevision == 0 {
 		u.OperatorAge = maxAge // A VM of an earlier version does not state it.
 	}
-	if u.ConfigRevision <= s.Config().Revision {
-		return u, nil
+	if u.DirectoryVersion.Revision > local.DirectoryRevision && s.lacks(u.DirectoryVersion) {
+		if err := s.fetchDirectory(ctx, vm); err != nil {
+			return update{}, err
+		}
+	}
+	if u.ConfigRevision > s.Config().Revision {
+		if err := s.fetchConfig(ctx, vm); err != nil {
+			return update{}, err
+		}
 	}
-	return u, s.fetchConfig(ctx, vm)
+	return u, nil
+}
+
+// lacks reports whether the targets of another node's directory differ from those
+// of this one.
+func (s *Service) lacks(v directoryVersion) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return !s.state.matches(v)
 }
 
 // apply merges the update of another node.
 func (s *Service) apply(vm string, u update) {
-	sn := Snapshot{DrainedDomains: u.DrainedDomains}
+	sn := Snapshot{DrainedDomains: u.DrainedDomains, Unchanged: u.DirectoryVersion}
 	if u.Config != nil {
 		sn.Config = site.NewConfig(*u.Config)
 	}
@@ -97,18 +112,27 @@
 	u := update{Now: now, Age: directoryAge, OperatorAge: operatorAge, OperatorRevision: s.operatorRevision, GraceRemaining: s.state.GraceRemaining(now)}
 	if c := s.state.Config(); c.Loaded() {
 		u.ConfigRevision = c.Revision
-		if !remote.FetchesConfig && c.Revision > remote.ConfigRevision {
-			u.Config = &c
-		}
-	}
-	if d := s.state.registered; d.Loaded() && d.Revision > remote.DirectoryRevision {
-		u.Directory = &d
 	}
+	u.DirectoryVersion = s.state.directoryVersion(now)
 	if d := s.state.drained; d != nil && d.Revision > remote.DrainedDomainsRevision {
 		u.DrainedDomains = d
 	}
-	if u.Directory == nil && !s.state.Config().Loaded() {
+	if !remote.Transfers {
+		s.addInline(&u, remote)
+	}
+	if u.DirectoryVersion.Revision == 0 && !s.state.Config().Loaded() {
 		return update{}, fault.New(fault.Unavailable, fault.NotRun, "nothing is known here")
 	}
 	return u, nil
 }
+
+// addInline adds what a VM of an earlier version does not fetch separately. The
+// mutex is held.
+func (s *Service) addInline(u *update, remote revisions) {
+	if c := s.state.Config(); c.Loaded() && c.Revision > remote.ConfigRevision {
+		u.Config = &c
+	}
+	if d := s.state.registered; d.Loaded() && d.Revision > remote.DirectoryRevision {
+		u.Directory = &d
+	}
+}
--- a/news/fleet_test.go
+++ b/news/fleet_test.go
@@ -40,6 +40,7 @@
 	random        ports.Random
 	readers       []member.VM
 	routes        int
+	targets       int
 	// linkBytesPerSecond is the bandwidth of each node's link; zero means that
 	// transfers take no time.
 	linkBytesPerSecond int
@@ -60,7 +61,7 @@
 func newReadersEnv(c readersCase, seed uint64) *readersEnv {
 	e := &readersEnv{
 		started: time.Now(), nodes: make(map[string]*readersNode), revision: 1, rejected: make(map[string]bool),
-		routes: c.Routes, linkBytesPerSecond: c.LinkBytesPerSecond, configs: []time.Time{time.Now()}, configChanged: make(chan struct{}), impaired: make(map[string]string),
+		routes: c.Routes, targets: c.Targets, linkBytesPerSecond: c.LinkBytesPerSecond, configs: []time.Time{time.Now()}, configChanged: make(chan struct{}), impaired: make(map[string]string),
 	}
 	e.recentFrom = e.started.Add(time.Duration(c.Seconds-5) * time.Second)
 	var vms []member.VM
@@ -238,13 +239,34 @@
 	if err := cmp.Or(n.callStore(), n.awaitStore(ctx)); err != nil {
 		return site.Directory{}, err
 	}
-	n.env.mutex.Lock()
-	defer n.env.mutex.Unlock()
-	d := site.Directory{Revision: n.env.revision, Targets: []site.Target{{ID: "one", Address: "1"}}}
-	if n.env.revision == 1 {
+	d := n.env.directory()
+	text, err := json.Marshal(d)
+	if err != nil {
+		return site.Directory{}, err
+	}
+	return d, n.receive(ctx, base64.StdEncoding.EncodedLen(len(text)))
+}
+
+// directory returns the directory that the store holds.
+func (e *readersEnv) directory() site.Directory {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	d := site.Directory{Revision: e.directoryRevision(), Targets: []site.Target{{ID: "one", Address: "1"}}}
+	for i := range e.targets {
+		d.Targets = append(d.Targets, site.Target{
+			ID: fmt.Sprintf("target-%d", i), Service: "service", Address: fmt.Sprintf("10.0.%d.%d:8080", i/250, i%250), Domain: "north", Version: "1", Slots: 4,
+		})
+	}
+	if e.revision == 1 {
 		d.Targets = append(d.Targets, site.Target{ID: "old", Address: "2"})
 	}
-	return site.NewDirectory(d), nil
+	return site.NewDirectory(d)
+}
+
+// directoryRevision returns the revision of the store, which increases with time
+// even if no target changes. The mutex is held.
+func (e *readersEnv) directoryRevision() int64 {
+	return 1000*e.revision + int64(time.Since(e.started)/time.Second)
 }
 
 // impairment returns the impairment of the node, if any.
@@ -359,8 +381,11 @@
 }
 
 func (n *readersNode) handle(ctx context.Context, method string, params any) (any, error) {
-	if method == MethodFetchConfig {
+	switch method {
+	case MethodFetchConfig:
 		return n.service.HandleFetchConfig(ctx, params.(configRequest))
+	case MethodFetchDirectory:
+		return n.service.HandleFetchDirectory(ctx, params.(directoryRequest))
 	}
 	return n.service.HandleFetch(ctx, params.(revisions))
 }
@@ -372,6 +397,9 @@
 	if rate == 0 {
 		return nil
 	}
+	if slices.ContainsFunc(n.env.readers, n.service.isSelf) {
+		rate *= 20
+	}
 	n.env.mutex.Lock()
 	if now := time.Now(); n.linkFree.Before(now) {
 		n.linkFree = now
--- a/news/random_test.go
+++ b/news/random_test.go
@@ -116,7 +116,11 @@
 // sendUpdate makes one node send another all of its state.
 func (e *stateEnv) sendUpdate(t *rapid.T, from, to int) {
 	s := e.nodes[from]
-	e.nodes[to].ApplyPeer(e.now, Snapshot{Config: s.config, Directory: s.registered, DrainedDomains: s.drained})
+	sn := Snapshot{Config: s.config, Unchanged: s.directoryVersion(e.now), DrainedDomains: s.drained}
+	if !e.nodes[to].matches(sn.Unchanged) {
+		sn.Directory = s.registered
+	}
+	e.nodes[to].ApplyPeer(e.now, sn)
 	e.check(t, to)
 }
 
@@ -130,6 +134,9 @@
 	}
 	newest.configRevision, newest.registered, newest.drained = s.config.Revision, s.registered.Revision, s.drained.Revision
 	s.ExpireGrace(e.now)
+	if want, got := e.history[s.registered.Revision-1].targets, ids(s.registered); !slices.Equal(slices.Sorted(slices.Values(want)), got) {
+		t.Fatalf("node %d has targets %v at revision %d, want %v", node, got, s.registered.Revision, want)
+	}
 	for _, target := range s.Directory().Usable("svc") {
 		if slices.Contains(s.drained.Domains, target.Domain) {
 			t.Fatalf("node %d uses %s in a drained failure domain", node, target.ID)
@@ -140,6 +147,15 @@
 	}
 }
 
+// ids returns the identifiers of the targets, sorted.
+func ids(d site.Directory) []string {
+	var list []string
+	for _, target := range d.Targets {
+		list = append(list, target.ID)
+	}
+	return list
+}
+
 // checkFinal makes every node read the store after the grace period and checks
 // that it uses the targets that accept new work.
 func (e *stateEnv) checkFinal(t *rapid.T) {
--- a/news/reader_test.go
+++ b/news/reader_test.go
@@ -32,10 +32,12 @@
 	ConfigChangesMS []int        `json:"config_changes_ms"`
 	MaxConfigLagMS  int          `json:"max_config_lag_ms"`
 	Impairments     []impairment `json:"impairments"`
-	// Routes is the number of routes of each configuration, and
-	// LinkBytesPerSecond the bandwidth of each node's link; zero means that
-	// transfers take no time.
+	// Routes is the number of routes of each configuration, Targets the number of
+	// targets that do not change, and LinkBytesPerSecond the bandwidth of each
+	// node's link, a twentieth of that of store readers; zero means that transfers
+	// take no time.
 	Routes             int `json:"routes"`
+	Targets            int `json:"targets"`
 	LinkBytesPerSecond int `json:"link_bytes_per_second"`
 	// Heartbeats means that the nodes learn each other's revisions from
 	// heartbeats.
--- a/news/service.go
+++ b/news/service.go
@@ -111,9 +111,9 @@
 	ConfigRevision         int64 `json:"version"`
 	DirectoryRevision      int64 `json:"revision"`
 	DrainedDomainsRevision int64 `json:"departures"`
-	// FetchesConfig means that the sender fetches configurations by
-	// MethodFetchConfig. VMs of earlier versions do not.
-	FetchesConfig bool `json:"fetches_config"`
+	// Transfers means that the sender fetches configurations and directories by
+	// calls of their own. VMs of earlier versions do not.
+	Transfers bool `json:"transfers"`
 }
 
 // update is the state that is newer than the revisions of the receiver; the
@@ -121,8 +121,11 @@
 type update struct {
 	// ConfigRevision is the revision of the sender's configuration; zero if it has
 	// none or is a VM of an earlier version, which sends Config.
-	ConfigRevision int64           `json:"version"`
-	Config         *site.Config    `json:"config,omitempty"` // Only between VMs of different versions.
+	ConfigRevision int64 `json:"version"`
+	// DirectoryVersion identifies the directory of the sender.
+	DirectoryVersion directoryVersion `json:"directory_version"`
+	// Config and Directory are sent between VMs of different versions only.
+	Config         *site.Config    `json:"config,omitempty"`
 	Directory      *site.Directory `json:"directory,omitempty"`
 	DrainedDomains *DrainedDomains `json:"departures,omitempty"`
 	// Now is the time by the sender's clock.
--- a/news/state.go
+++ b/news/state.go
@@ -25,6 +25,15 @@
 	Config         site.Config
 	Directory      site.Directory // As registered; its DrainedDomains is not set.
 	DrainedDomains *DrainedDomains
+	Unchanged      directoryVersion // Used instead of Directory if it has the same targets.
+}
+
+// directoryVersion identifies what a directory lists. The zero value stands for
+// none.
+type directoryVersion struct {
+	Revision int64  `json:"revision"`
+	Hash     uint64 `json:"hash"` // Of its targets.
+	Cold     bool   `json:"cold"` // Some are warming up; the hash does not tell until when.
 }
 
 // State merges snapshots. The zero value has no configuration and no directory.
@@ -35,8 +44,9 @@
 	// registered is the directory as last applied, from the store or from
 	// another node, before retained entries and drained failure domains are
 	// added.
-	registered site.Directory
-	drained    *DrainedDomains
+	registered     site.Directory
+	registeredHash uint64 // Of the targets of registered.
+	drained        *DrainedDomains
 	// inOutage means that the last read of the store failed and that no store
 	// reader has reported a successful read since.
 	inOutage bool
@@ -93,7 +103,11 @@
 		c.Directory = true
 	}
 	if sn.Directory.Loaded() && (!s.registered.Loaded() || sn.Directory.Revision >= s.registered.Revision) {
-		s.registered = sn.Directory
+		s.registered, s.registeredHash = sn.Directory, sn.Directory.TargetsHash()
+		c.Directory = true
+	}
+	if s.matches(sn.Unchanged) && sn.Unchanged.Revision > s.registered.Revision {
+		s.registered = s.registered.WithRevision(sn.Unchanged.Revision)
 		c.Directory = true
 	}
 	if c.Directory {
@@ -175,6 +189,19 @@
 	return targets
 }
 
+// matches reports whether the registered targets are those of another directory.
+func (s *State) matches(v directoryVersion) bool {
+	return s.registered.Loaded() && v.Revision != 0 && !v.Cold && v.Hash == s.registeredHash
+}
+
+// directoryVersion returns the version of the registered targets.
+func (s *State) directoryVersion(now time.Time) directoryVersion {
+	if !s.registered.Loaded() {
+		return directoryVersion{}
+	}
+	return directoryVersion{Revision: s.registered.Revision, Hash: s.registeredHash, Cold: s.registered.AnyCold(now)}
+}
+
 // revisions returns the revisions that the state has.
 func (s *State) revisions() revisions {
 	v := revisions{ConfigRevision: s.config.Revision, DirectoryRevision: s.registered.Revision}
--- a/news/transfer.go
+++ b/news/transfer.go
@@ -10,12 +10,15 @@
 	"bergamotworks/wire"
 )
 
-// MethodFetchConfig is the method by which a node fetches the configuration of
-// another.
-const MethodFetchConfig = "news.config"
+// MethodFetchConfig and MethodFetchDirectory are the methods by which a node
+// fetches the configuration and the directory of another.
+const (
+	MethodFetchConfig    = "news.config"
+	MethodFetchDirectory = "news.directory"
+)
 
-// transferTimeout bounds the transfer of a configuration, which may take much
-// longer than other calls on a slow network link.
+// transferTimeout bounds the transfer of a configuration or directory, which may
+// take much longer than other calls on a slow network link.
 const transferTimeout = 1 * time.Second
 
 // configRequest asks for a configuration newer than a revision.
@@ -87,3 +90,44 @@
 	s.logChange(change, vm)
 	return nil
 }
+
+// directoryRequest asks for the directory.
+type directoryRequest struct{}
+
+// directoryReply is a directory.
+type directoryReply struct {
+	Now  time.Time `json:"now"`  // By the sender's clock.
+	Data []byte    `json:"data"` // The directory, made by wire.Compress.
+}
+
+// HandleFetchDirectory returns the directory as this node has it. It returns a
+// NotFound error if there is none.
+func (s *Service) HandleFetchDirectory(_ context.Context, _ directoryRequest) (directoryReply, error) {
+	s.mutex.Lock()
+	d := s.state.registered
+	s.mutex.Unlock()
+	if !d.Loaded() {
+		return directoryReply{}, fault.New(fault.NotFound, fault.NotRun, "no directory")
+	}
+	data, err := wire.Compress(d)
+	if err != nil {
+		return directoryReply{}, fault.New(fault.Internal, fault.NotRun, "encode directory %d: %s", d.Revision, err)
+	}
+	return directoryReply{Now: s.Clock.Now(), Data: data}, nil
+}
+
+// fetchDirectory fetches and applies the directory of another node.
+func (s *Service) fetchDirectory(ctx context.Context, vm string) error {
+	ctx, cancel := context.WithTimeout(ctx, transferTimeout)
+	defer cancel()
+	var reply directoryReply
+	if err := s.Peers.Call(ctx, vm, MethodFetchDirectory, directoryRequest{}, &reply); err != nil {
+		return err
+	}
+	var d site.Directory
+	if err := wire.Decompress(reply.Data, &d); err != nil {
+		return fault.New(fault.Internal, fault.NotRun, "directory of %s: %s", vm, err)
+	}
+	s.apply(vm, update{Directory: &d, Now: reply.Now})
+	return nil
+}
--- a/serve/node.go
+++ b/serve/node.go
@@ -228,6 +228,7 @@
 	n.peers.Register(batch.MethodSubmit, peer.TypedHandler(n.batch.HandleSubmit))
 	n.peers.Register(batch.MethodRelease, peer.TypedHandler(n.batch.HandleRelease))
 	n.peers.Register(news.MethodFetch, peer.TypedHandler(n.news.HandleFetch))
+	n.peers.Register(news.MethodFetchDirectory, peer.TypedHandler(n.news.HandleFetchDirectory))
 	n.peers.Register(news.MethodFetchConfig, peer.TypedHandler(n.news.HandleFetchConfig))
 	return nil
 }
--- a/site/directory.go
+++ b/site/directory.go
@@ -1,10 +1,13 @@
 package site
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Target is a process that serves requests or processes pieces, as it
@@ -74,6 +77,28 @@
 	return t, ok
 }
 
+// TargetsHash returns a hash of the targets as they registered themselves, without
+// the ends of their warm-ups.
+func (d Directory) TargetsHash() uint64 {
+	h := xxhash.New()
+	for _, t := range d.Targets {
+		t.ColdUntil = time.Time{}
+		_, _ = fmt.Fprintf(h, "%+v\n", t) // A hash never fails.
+	}
+	return h.Sum64()
+}
+
+// AnyCold reports whether a target is warming up at the given time.
+func (d Directory) AnyCold(now time.Time) bool {
+	return slices.ContainsFunc(d.Targets, func(t Target) bool { return t.ColdUntil.After(now) })
+}
+
+// WithRevision returns a copy that is known to hold at another revision.
+func (d Directory) WithRevision(revision int64) Directory {
+	d.Revision = revision
+	return d
+}
+
 // WithDrainedDomains returns a copy in which exactly the given failure
 // domains are drained, as of a store revision. If they already are, it
 // returns d unchanged.
