--- a/news/service.go
+++ b/news/service.go
@@ -97,7 +97,8 @@
 	operatorRevision int64
 	pauses           pauseDetector
 	reported         report
-	encoded          configCache
+	encodedConfig    encodedCache
+	encodedDirectory encodedCache
 	fetches          sync.WaitGroup
 	lastReadError    time.Time // Last failed read by loopRefresh, which alone uses it.
 
--- a/news/transfer.go
+++ b/news/transfer.go
@@ -32,26 +32,27 @@
 	Data     []byte `json:"data"` // The configuration, made by wire.Compress.
 }
 
-// configCache holds the newest configuration in the form in which it is sent, as
-// many nodes fetch it at the same time.
-type configCache struct {
-	mutex sync.Mutex
-	reply configReply
+// encodedCache holds the newest value in the form in which it is sent, as many
+// nodes fetch it at the same time.
+type encodedCache struct {
+	mutex    sync.Mutex
+	revision int64
+	data     []byte
 }
 
-// get returns the reply for a configuration.
-func (c *configCache) get(config site.Config) (configReply, error) {
+// get returns the value of a revision as made by wire.Compress.
+func (c *encodedCache) get(revision int64, value any) ([]byte, error) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.reply.Data != nil && c.reply.Revision == config.Revision {
-		return c.reply, nil
+	if c.data != nil && c.revision == revision {
+		return c.data, nil
 	}
-	data, err := wire.Compress(config)
+	data, err := wire.Compress(value)
 	if err != nil {
-		return configReply{}, err
+		return nil, fault.New(fault.Internal, fault.NotRun, "encode revision %d: %s", revision, err)
 	}
-	c.reply = configReply{Revision: config.Revision, Data: data}
-	return c.reply, nil
+	c.revision, c.data = revision, data
+	return data, nil
 }
 
 // HandleFetchConfig returns the configuration of this node. It returns a NotFound
@@ -61,11 +62,8 @@
 	if !config.Loaded() || config.Revision <= request.Revision {
 		return configReply{}, fault.New(fault.NotFound, fault.NotRun, "no configuration after revision %d", request.Revision)
 	}
-	reply, err := s.encoded.get(config)
-	if err != nil {
-		return configReply{}, fault.New(fault.Internal, fault.NotRun, "encode configuration %d: %s", config.Revision, err)
-	}
-	return reply, nil
+	data, err := s.encodedConfig.get(config.Revision, config)
+	return configReply{Revision: config.Revision, Data: data}, err
 }
 
 // fetchConfig fetches and activates the configuration of another node unless it is
@@ -109,11 +107,8 @@
 	if !d.Loaded() {
 		return directoryReply{}, fault.New(fault.NotFound, fault.NotRun, "no directory")
 	}
-	data, err := wire.Compress(d)
-	if err != nil {
-		return directoryReply{}, fault.New(fault.Internal, fault.NotRun, "encode directory %d: %s", d.Revision, err)
-	}
-	return directoryReply{Now: s.Clock.Now(), Data: data}, nil
+	data, err := s.encodedDirectory.get(d.Revision, d)
+	return directoryReply{Now: s.Clock.Now(), Data: data}, err
 }
 
 // fetchDirectory fetches and applies the directory of another node.
