news: measure how long a node lacks the oldest configuration that it lacks

In a fast storm of changes every VM would have reported that it is not ready: a VM that is always a little behind counted as outdated since the first report, as there was never a moment in which it lacked none. The reports of newer revisions are remembered, and the age is that of the oldest one that the node still lacks. The script newer_and_newer expected 2,500 ms after revision 5, reported then, had become active: revision 6, the one that is lacking, was reported 1,000 ms before. The new script storm_in_which_the_node_stays_little_behind failed before.

--- a/news/report.go
+++ b/news/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"bergamotworks/member"
@@ -11,11 +12,14 @@
 // is known to be newer, before the VM leaves that to its refresh.
 const maxReportedFetches = 3
 
+// maxReports is the number of newer revisions that are remembered.
+const maxReports = 64
+
 // report says that a VM has a revision of the configuration.
 type report struct {
-	vm       string
+	vm       string // Empty once the VM was asked for it.
 	revision int64
-	since    time.Time // When this node was first known to lack a newer configuration.
+	at       time.Time
 }
 
 func (s *Service) prepare() {
@@ -26,16 +30,7 @@
 // reports. If it is newer, it is fetched from there at once. It does not block.
 func (s *Service) ObserveRevision(vm string, revision int64) {
 	s.prepare()
-	s.mutex.Lock()
-	newer := revision > s.state.Config().Revision && revision > s.reported.revision
-	if newer {
-		since := s.reported.since
-		if s.reported.revision <= s.state.Config().Revision {
-			since = s.Clock.Now()
-		}
-		s.reported = report{vm: vm, revision: revision, since: since}
-	}
-	s.mutex.Unlock()
+	newer := s.addReport(report{vm: vm, revision: revision, at: s.Clock.Now()})
 	if !newer {
 		return
 	}
@@ -45,24 +40,61 @@
 	}
 }
 
+// addReport remembers a report and reports whether its revision is newer than that
+// of this node and those reported before.
+func (s *Service) addReport(r report) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.dropReports()
+	if r.revision <= max(s.state.Config().Revision, s.newestReport().revision) {
+		return false
+	}
+	if len(s.reports) == maxReports {
+		s.reports = s.reports[:maxReports-1]
+	}
+	s.reports = append(s.reports, r)
+	return true
+}
+
+// dropReports forgets the revisions that this node has. The mutex is held.
+func (s *Service) dropReports() {
+	current := s.state.Config().Revision
+	s.reports = slices.DeleteFunc(s.reports, func(r report) bool { return r.revision <= current })
+}
+
+// newestReport returns the report of the newest revision, the zero value if there
+// is none. The mutex is held.
+func (s *Service) newestReport() report {
+	if len(s.reports) == 0 {
+		return report{}
+	}
+	return s.reports[len(s.reports)-1]
+}
+
 // Outdated reports whether another VM has reported a newer configuration than
 // that of this node.
 func (s *Service) Outdated() bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.reported.revision > s.state.Config().Revision
+	return s.newestReport().revision > s.state.Config().Revision
 }
 
-// OutdatedFor returns how long this node has lacked a newer configuration that a
-// live VM has, zero if it lacks none.
+// OutdatedFor returns the time since the oldest report of a configuration that this
+// node lacks and a live VM has, zero if there is none.
 func (s *Service) OutdatedFor() time.Duration {
 	s.mutex.Lock()
-	current, r := s.state.Config().Revision, s.reported
+	s.dropReports()
+	current := s.state.Config().Revision
+	if len(s.reports) == 0 {
+		s.mutex.Unlock()
+		return 0
+	}
+	oldest := s.reports[0]
 	s.mutex.Unlock()
-	if r.revision <= current || len(s.newerVMs(current)) == 0 {
+	if len(s.newerVMs(current)) == 0 {
 		return 0
 	}
-	return s.Clock.Now().Sub(r.since)
+	return s.Clock.Now().Sub(oldest.at)
 }
 
 // newerVMs returns the live VMs that have reported a newer configuration than the
@@ -107,8 +139,11 @@
 // reported it, once, then a random one. It returns false if none is known.
 func (s *Service) newerVM() (string, bool) {
 	s.mutex.Lock()
-	current, r := s.state.Config().Revision, s.reported
-	s.reported.vm = ""
+	s.dropReports()
+	current, r := s.state.Config().Revision, s.newestReport()
+	if len(s.reports) > 0 {
+		s.reports[len(s.reports)-1].vm = ""
+	}
 	s.mutex.Unlock()
 	if r.revision <= current {
 		return "", false
--- a/news/service.go
+++ b/news/service.go
@@ -96,7 +96,7 @@
 	// zero if there is none.
 	operatorRevision int64
 	pauses           pauseDetector
-	reported         report
+	reports          []report // Of newer revisions, oldest first.
 	encodedConfig    encodedCache
 	encodedDirectory encodedCache
 	fetches          sync.WaitGroup
