--- a/news/fetch.go
+++ b/news/fetch.go
@@ -101,9 +101,9 @@
 	s.logChange(change, vm)
 }
 
-// HandleFetch returns what is newer than the revisions of another node. It
-// returns an Unavailable error if this node has neither a configuration nor a
-// newer directory.
+// HandleFetch returns the revisions and ages of this node's state, and the drained
+// failure domains if they are newer than those of the other node. It returns an
+// Unavailable error if this node has neither a configuration nor a directory.
 func (s *Service) HandleFetch(_ context.Context, remote revisions) (update, error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
--- a/news/service.go
+++ b/news/service.go
@@ -15,7 +15,7 @@
 	"bergamotworks/site"
 )
 
-// MethodFetch is the method by which a node fetches newer state from another.
+// MethodFetch is the method by which a node learns which state another has.
 const MethodFetch = "news.tell"
 
 const (
@@ -117,8 +117,8 @@
 	Transfers bool `json:"transfers"`
 }
 
-// update is the state that is newer than the revisions of the receiver; the
-// result of MethodFetch.
+// update describes the sender's state; the result of MethodFetch. The receiver
+// fetches the configuration and the directory by calls of their own.
 type update struct {
 	// ConfigRevision is the revision of the sender's configuration; zero if it has
 	// none or is a VM of an earlier version, which sends Config.
