place, wire, relay, batch: heed targets that leave or ask to wait, on every path

Callers saw requests and pieces reach a target after a response of it had said that it leaves, and a target that had asked to be left alone for 30 s get a request every 0.15 s or as soon as it was the least busy again.

Cause: what a target says of itself in its responses was read nowhere. Only the directory took a target out, which lags, needs the store and may never say it; the only other brakes were constants (0.15 s, 0.5 s), one in place.Table and one in batch.Table.

Now place.Admission holds a target by incarnation, because it leaves or until the time that it has asked for; afterwards calls come back with two in half a second, doubling. One Admission serves all paths: wire.Client observes each response to a call to a target and asks again, once the connection stands, before it sends anything, so that a call chosen or queued earlier does not go out either. place.Table.Choose and batch.Table leave held targets out; releases and queries wait or are dropped. If all targets of a service are held, requests, queued pieces and new ones are rejected at once with the shortest time. Others learn that a target leaves by a report, which counts for 5 s.

The backoffs of place.Table and batch.Table stay: they follow from failures of calls of different kinds and concern one path each; what was common, the word of the target, is what Admission takes out of both.

TestMalformedReports took kind 3 for malformed; it is the new kind now. Kind 0 with an observer, malformed as before, takes its place.

--- a/batch/dispatch.go
+++ b/batch/dispatch.go
@@ -1,11 +1,13 @@
 package batch
 
 import (
+	"errors"
 	"slices"
 	"strings"
 	"time"
 
 	"bergamotworks/fault"
+	"bergamotworks/place"
 )
 
 // callsToFillMemory is the number of full calls whose results fill the memory of a
@@ -15,6 +17,8 @@
 // dispatch starts calls until no available target can accept any of the queued
 // work.
 func (t *Table) dispatch(now time.Time) {
+	t.updateHolds(now)
+	t.failHeld(now)
 	for t.anyAvailable(now) {
 		t.sortQueue(now)
 		best, pieces := t.bestCall(now)
@@ -27,7 +31,7 @@
 
 // available reports whether another call to a target can start now.
 func (t *Table) available(now time.Time, state *targetState) bool {
-	return state.usable && len(state.running) < max(t.Limits.Slots, 1) && !now.Before(state.backoffUntil)
+	return state.listed && state.hold.Reason == place.NotHeld && len(state.running) < max(t.Limits.Slots, 1) && !now.Before(state.backoffUntil)
 }
 
 func (t *Table) anyAvailable(now time.Time) bool {
@@ -161,7 +165,7 @@
 
 func (t *Table) hasTargetIn(domain string) bool {
 	for _, state := range t.targets {
-		if state.usable && state.target.Domain == domain {
+		if state.usable() && state.target.Domain == domain {
 			return true
 		}
 	}
@@ -188,6 +192,22 @@
 	t.actions = append(t.actions, action)
 }
 
+// isHeld reports whether a call was not sent because its target has said meanwhile
+// that it leaves or asks to wait.
+func isHeld(err error) bool {
+	var held *place.HeldError
+	return errors.As(err, &held)
+}
+
+// requeueUnsent queues the pieces of a call that was not sent again. The call does not
+// count as an attempt.
+func (t *Table) requeueUnsent(call *activeCall) {
+	for _, p := range call.pieces {
+		p.attempts--
+		t.requeue(p, nil)
+	}
+}
+
 // CallEnded records the end of a call. If err is nil, results holds one result
 // for each piece of the call, in their order. Otherwise results is ignored, the
 // target is in backoff and the pieces are queued again. A call that is unknown
@@ -200,6 +220,11 @@
 	delete(state.running, callID)
 	if err != nil {
 		e := fault.From(err)
+		if isHeld(err) {
+			t.requeueUnsent(call)
+			t.dispatch(now)
+			return
+		}
 		state.backoffUntil = now.Add(failureBackoff)
 		if e.Verdict != fault.NotRun {
 			state.addUntracked(now, t.Limits, call.bytes)
--- a/batch/order.go
+++ b/batch/order.go
@@ -119,7 +119,8 @@
 func (t *Table) EstimateWait(now time.Time) time.Duration {
 	usable, ahead := t.usableTargets(), 0
 	if usable == 0 {
-		return defaultQueueWait
+		wait, _ := t.allHeld(now)
+		return max(defaultQueueWait, wait)
 	}
 	for _, g := range t.queue {
 		if !t.missesLatencyTarget(now, g.work) {
@@ -133,7 +134,7 @@
 func (t *Table) usableTargets() int {
 	n := 0
 	for _, state := range t.targets {
-		if state.usable {
+		if state.usable() {
 			n++
 		}
 	}
--- a/batch/service.go
+++ b/batch/service.go
@@ -11,6 +11,7 @@
 
 	"bergamotworks/fault"
 	"bergamotworks/member"
+	"bergamotworks/place"
 	"bergamotworks/ports"
 	"bergamotworks/site"
 )
@@ -57,6 +58,7 @@
 	Directory func() site.Directory
 	View      func() member.View
 	Runner    Runner
+	Admission *place.Admission // Holds the targets that get no calls from this VM; may be nil.
 	Peers     Caller
 	Clock     ports.Clock
 	Random    ports.Random
@@ -223,7 +225,7 @@
 	if !ok || service.Batch == nil {
 		return nil, fault.New(fault.NotFound, fault.NotRun, "service %s takes no pieces", name)
 	}
-	b := &batcher{name: name, table: Table{Limits: *service.Batch}, waiters: make(map[uint64]chan GroupDone)}
+	b := &batcher{name: name, table: Table{Limits: *service.Batch, Admission: s.Admission}, waiters: make(map[uint64]chan GroupDone)}
 	s.batchers[name] = b
 	s.Log.WithField("service", name).Info("started batching for a service")
 	return b, nil
--- a/batch/table.go
+++ b/batch/table.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bergamotworks/fault"
+	"bergamotworks/place"
 	"bergamotworks/site"
 )
 
@@ -36,6 +37,8 @@
 // Table is the scheduler of one service. It is not safe for concurrent use.
 type Table struct {
 	Limits site.BatchLimits
+	// Admission holds the targets that get no calls from this node; may be nil.
+	Admission *place.Admission
 
 	groups      map[uint64]*group
 	queue       []*group // Groups with waiting pieces.
@@ -105,6 +108,10 @@
 // Submit queues work and returns its group ID. It returns a Busy error with a
 // retry delay if the work is not expected to finish in time.
 func (t *Table) Submit(now time.Time, w Work) (uint64, error) {
+	t.updateHolds(now)
+	if wait, all := t.allHeld(now); all {
+		return 0, t.heldError(w, wait)
+	}
 	wait, ok := t.forecast(now, w)
 	if !ok {
 		return 0, fault.New(fault.Busy, fault.NotRun, "%s begins %d pieces in %s and the rest takes %s, with %s to the target and %s to the deadline",
@@ -152,7 +159,10 @@
 // flushReleases requests the release of all results that are marked at a
 // target.
 func (t *Table) flushReleases(state *targetState) {
-	if len(state.toRelease) == 0 {
+	if state.hold.Reason == place.TargetLeaving {
+		state.toRelease = nil // They end with the target.
+	}
+	if len(state.toRelease) == 0 || held(state.hold) {
 		return
 	}
 	t.actions = append(t.actions, ReleaseResults{Target: state.target, Handles: state.toRelease})
@@ -187,12 +197,19 @@
 			delete(state.results, h)
 		}
 		if untracked && now.Before(state.untrackedUntil) {
-			t.actions = append(t.actions, MeasureCapacity{Target: state.target})
+			t.requestMeasurement(now, state)
 		}
 	}
 	t.dispatch(now)
 }
 
+// requestMeasurement queries the free capacity of a target unless it is held.
+func (t *Table) requestMeasurement(now time.Time, state *targetState) {
+	if !held(t.Admission.Hold(now, state.target)) {
+		t.actions = append(t.actions, MeasureCapacity{Target: state.target})
+	}
+}
+
 // CapacityMeasured records the free result capacity of a target in bytes.
 func (t *Table) CapacityMeasured(now time.Time, targetID string, free int64) {
 	if state := t.targets[targetID]; state != nil {
@@ -205,9 +222,9 @@
 // waiting.
 func (t *Table) requestMeasurements(now time.Time) {
 	for _, state := range t.targets {
-		if state.usable && state.needsMeasurement(now) {
+		if state.listed && state.needsMeasurement(now) {
 			state.measuredAt = now
-			t.actions = append(t.actions, MeasureCapacity{Target: state.target})
+			t.requestMeasurement(now, state)
 		}
 	}
 }
@@ -215,6 +232,7 @@
 // Tick releases marked results, fails groups that cannot meet their deadline
 // and dispatches calls.
 func (t *Table) Tick(now time.Time) {
+	t.updateHolds(now)
 	for _, state := range t.targets {
 		t.flushReleases(state)
 	}
--- a/batch/table_test.go
+++ b/batch/table_test.go
@@ -13,6 +13,7 @@
 	"github.com/google/go-cmp/cmp/cmpopts"
 
 	"bergamotworks/batch"
+	"bergamotworks/place"
 	"bergamotworks/script"
 	"bergamotworks/site"
 )
@@ -51,7 +52,10 @@
 	Cancel             uint64        `json:"cancel"`
 	Abandon            bool          `json:"abandon"`
 	Tick               bool          `json:"tick"`
-	Want               []string      `json:"want"`
+	// Notice is what a target has said of itself before the event: ID leaving, or ID
+	// wait and a duration.
+	Notice string   `json:"notice"`
+	Want   []string `json:"want"`
 }
 
 type workSpec struct {
@@ -86,11 +90,15 @@
 
 func testTable(t *testing.T, v tableCase) {
 	start := time.Unix(1000, 0)
-	table := batch.Table{Limits: site.BatchLimits{
+	var admission place.Admission
+	table := batch.Table{Admission: &admission, Limits: site.BatchLimits{
 		Slots: v.Limits.Slots, Size: v.Limits.Size, ResultCapacityBytes: v.Limits.ResultCapacityBytes,
 		CallTime: ms(v.Limits.CallMS), PieceTime: ms(v.Limits.PieceMS), Retention: ms(v.Limits.RetentionMS),
 	}}
 	for i, s := range v.Steps {
+		if s.Notice != "" {
+			giveNotice(t, &admission, start.Add(ms(s.AtMS)), s.Notice)
+		}
 		rejection := apply(&table, start, s)
 		var got []string
 		if rejection != nil {
@@ -108,6 +116,19 @@
 	}
 }
 
+func giveNotice(t *testing.T, admission *place.Admission, now time.Time, text string) {
+	fields := strings.Fields(text)
+	notice := place.Notice{Leaving: fields[1] == "leaving"}
+	if !notice.Leaving {
+		wait, err := time.ParseDuration(fields[2])
+		if err != nil {
+			t.Fatal(err)
+		}
+		notice.Wait = wait
+	}
+	admission.Observe(now, targets(fields[:1])[0], notice)
+}
+
 func ms(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
 
 func apply(table *batch.Table, start time.Time, s tableStep) error {
@@ -172,8 +193,11 @@
 }
 
 func failure(text string) error {
-	if text == "" {
+	switch text {
+	case "":
 		return nil
+	case "held":
+		return &place.HeldError{}
 	}
 	return errors.New(text)
 }
--- a/batch/target.go
+++ b/batch/target.go
@@ -1,16 +1,19 @@
 package batch
 
 import (
+	"slices"
 	"time"
 
 	"bergamotworks/fault"
+	"bergamotworks/place"
 	"bergamotworks/site"
 )
 
 // targetState is the state of one target.
 type targetState struct {
 	target       site.Target
-	usable       bool // The target is listed as accepting new calls.
+	listed       bool       // The target is listed as accepting new calls.
+	hold         place.Hold // As of the last [Table.updateHolds].
 	running      map[uint64]*activeCall
 	results      map[string]storedResult // By handle.
 	toRelease    []string                // Handles to release with the next tick.
@@ -52,7 +55,7 @@
 		t.targets = make(map[string]*targetState)
 	}
 	for _, state := range t.targets {
-		state.usable = false
+		state.listed = false
 	}
 	for _, target := range targets {
 		state := t.targets[target.ID]
@@ -62,19 +65,67 @@
 			t.removeAddress(target.Address)
 			state = &targetState{running: make(map[uint64]*activeCall), results: make(map[string]storedResult)}
 			t.targets[target.ID] = state
-			t.actions = append(t.actions, MeasureCapacity{Target: target})
+			state.target = target
+			t.requestMeasurement(now, state)
 		}
 		state.target = target
-		state.usable = true
+		state.listed = true
 	}
 	for id, state := range t.targets {
-		if !state.usable && len(state.running) == 0 && state.usedBytes(now) == 0 && !now.Before(state.untrackedUntil) {
+		if !state.listed && len(state.running) == 0 && state.usedBytes(now) == 0 && !now.Before(state.untrackedUntil) {
 			delete(t.targets, id)
 		}
 	}
 	t.dispatch(now)
 }
 
+// updateHolds reads whether the targets are held.
+func (t *Table) updateHolds(now time.Time) {
+	for _, state := range t.targets {
+		state.hold = t.Admission.Hold(now, state.target)
+	}
+}
+
+// usable reports whether the target accepts new calls: it is listed and has neither
+// said that it leaves nor asked to wait.
+func (s *targetState) usable() bool { return s.listed && !held(s.hold) }
+
+// held reports whether a target gets no calls, not even some later in its ramp-up.
+func held(h place.Hold) bool {
+	return h.Reason == place.WaitRequested || h.Reason == place.TargetLeaving
+}
+
+// allHeld returns the shortest time after which one of the listed targets may accept
+// calls again, if all of them, at least one, are held.
+func (t *Table) allHeld(now time.Time) (time.Duration, bool) {
+	var listed []site.Target
+	for _, state := range t.targets {
+		if state.listed {
+			listed = append(listed, state.target)
+		}
+	}
+	return t.Admission.AllHeld(now, listed)
+}
+
+// heldError returns the error of work that no target of the service accepts for some
+// time.
+func (t *Table) heldError(w Work, wait time.Duration) error {
+	return fault.New(fault.Busy, fault.NotRun, "all targets of %s leave or have asked to wait", w.Service).WithRetryAfter(wait)
+}
+
+// failHeld fails the groups with waiting pieces if all targets are held.
+func (t *Table) failHeld(now time.Time) {
+	wait, all := t.allHeld(now)
+	if !all {
+		return
+	}
+	for _, g := range slices.Clone(t.queue) {
+		if len(g.waiting) > 0 {
+			t.fail(g, t.heldError(g.work, wait))
+		}
+	}
+}
+
 // requeueCalls queues the pieces in flight at a target again, since the
 // target has restarted. It does nothing if state is nil.
 func (t *Table) requeueCalls(state *targetState) {
--- a/engine/pieces.go
+++ b/engine/pieces.go
@@ -103,7 +103,7 @@
 
 func (p *PieceRunner) call(ctx context.Context, target site.Target, method, uri string, body, result any) error {
 	call := wire.Call{
-		Address: target.Address, Method: method, URI: uri,
+		Address: target.Address, Target: target, Method: method, URI: uri,
 		Headers: wire.Headers{{Name: HeaderTarget, Value: target.ID}},
 	}
 	return p.Client.DoJSON(ctx, call, body, result, func(r *wire.Response) error { return pieceStatusError(r, uri) })
--- a/node/routes.go
+++ b/node/routes.go
@@ -14,6 +14,7 @@
 	"bergamotworks/engine"
 	"bergamotworks/note"
 	"bergamotworks/peer"
+	"bergamotworks/place"
 	"bergamotworks/relay"
 	"bergamotworks/site"
 	"bergamotworks/wire"
@@ -48,16 +49,21 @@
 	if listener == nil {
 		return
 	}
-	r := &routes{node: n, client: &wire.Client{Network: n.Network, Clock: n.Clock}}
+	r := &routes{node: n}
+	guard := &relay.TargetGuard{
+		Admission: &place.Admission{}, Names: relay.DefaultHeaderNames(), Directory: r.currentDirectory, Clock: n.Clock, Log: n.logger("relay"), Metrics: n.metrics,
+	}
+	r.client = &wire.Client{Network: n.Network, Clock: n.Clock, Guard: guard}
 	r.batch = &batch.Service{
 		Self: n.Settings.VM, Config: r.currentConfig, Directory: r.currentDirectory, View: n.members.View,
-		Runner: &engine.PieceRunner{Client: r.client}, Peers: n.peers, Clock: n.Clock, Random: n.Random, Log: n.logger("batch"), Metrics: n.metrics,
+		Runner: &engine.PieceRunner{Client: r.client}, Admission: guard.Admission, Peers: n.peers, Clock: n.Clock, Random: n.Random, Log: n.logger("batch"), Metrics: n.metrics,
 	}
 	r.server = &relay.Server{
 		Listener: listener, Self: n.Settings.VM, Names: relay.DefaultHeaderNames(), Domain: n.Settings.Domain, Config: r.currentConfig,
-		Directory: r.currentDirectory, View: n.members.View, Stages: r.batch, Client: r.client,
+		Directory: r.currentDirectory, View: n.members.View, Stages: r.batch, Client: r.client, Guard: guard,
 		Bounds: r.bounds, OnEvidence: n.broadcastEvidence, OnTargetReport: n.broadcastTargetReport, Clock: n.Clock, Random: n.Random, Log: n.logger("relay"), Metrics: n.metrics,
 	}
+	guard.OnLeaving = r.server.ReportLeaving
 	n.peers.Register(batch.MethodSubmit, peer.TypedHandler(r.batch.HandleSubmit))
 	n.peers.Register(batch.MethodRelease, peer.TypedHandler(r.batch.HandleRelease))
 	n.peers.Register(batch.MethodProbe, peer.TypedHandler(r.batch.HandleProbe))
--- a/place/choose.go
+++ b/place/choose.go
@@ -37,6 +37,8 @@
 	// different nodes over time if the rate is below one per second.
 	ColdRate  float64
 	ColdPhase float64
+	// Admission holds the targets that get no calls from this node; may be nil.
+	Admission *Admission
 }
 
 // Choose returns the target for a request, or false if none can accept it now.
@@ -75,6 +77,9 @@
 		if reported[target.ID] {
 			continue
 		}
+		if criteria.Admission.Hold(now, target).Reason != NotHeld {
+			continue
+		}
 		state := t.state(target)
 		if slices.Contains(criteria.Tried, target.ID) || now.Before(target.ColdUntil) && !state.acceptsCold(now, criteria) {
 			continue
--- a/place/report.go
+++ b/place/report.go
@@ -13,6 +13,9 @@
 	// reportLifetime is how long a report keeps a target out. A target that is well
 	// again gets requests after that time, and one that is not is reported again.
 	reportLifetime = 1500 * time.Millisecond
+	// leavingReportLifetime is the same for the report that a target leaves, which it
+	// does not take back. The directory shows it within that time.
+	leavingReportLifetime = 5 * time.Second
 	// maxReportedShare is the largest share of the targets of a service that reports
 	// may keep out. Above it, they are ignored.
 	maxReportedShare = 0.5
@@ -34,8 +37,18 @@
 	// Silent means that no connection could be established. The cause may be the
 	// network of the node that reports it, so one report does not suffice.
 	Silent
+	// Leaving means that the target has said that it leaves. One report suffices.
+	Leaving
 )
 
+// lifetime returns how long a report of the kind keeps a target out.
+func (k ReportKind) lifetime() time.Duration {
+	if k == Leaving {
+		return leavingReportLifetime
+	}
+	return reportLifetime
+}
+
 // Report says that a node could not use a target. Nodes announce reports to each
 // other, so that not each of them has to find out by a request of its own.
 type Report struct {
@@ -59,13 +72,15 @@
 	at time.Time
 }
 
+func (r receivedReport) expired(now time.Time) bool { return now.Sub(r.at) >= r.Kind.lifetime() }
+
 // Observe records a report of another node that was received at now.
 func (t *Table) Observe(now time.Time, r Report) {
 	if t.reports == nil {
 		t.reports = make(map[uint64][]receivedReport)
 	}
 	kept := slices.DeleteFunc(t.reports[r.Target], func(o receivedReport) bool {
-		return o.Observer == r.Observer || now.Sub(o.at) >= reportLifetime
+		return o.Observer == r.Observer && o.Kind == r.Kind || o.expired(now)
 	})
 	if len(kept) == maxReportsPerTarget {
 		kept = kept[1:]
@@ -86,10 +101,10 @@
 	since := t.state(target).succeededAt
 	near, far := 0, make(map[uint16]bool) // Observers here; other failure domains that report it.
 	for _, r := range list {
-		if now.Sub(r.at) >= reportLifetime || !r.at.After(since) {
+		if r.expired(now) || !r.at.After(since) {
 			continue
 		}
-		if r.Kind == Replaced {
+		if r.Kind != Silent {
 			return true
 		}
 		if r.Domain == domain {
@@ -122,7 +137,7 @@
 // pruneReports discards the reports that have expired.
 func (t *Table) pruneReports(now time.Time) {
 	for key, list := range t.reports {
-		if now.Sub(list[len(list)-1].at) >= reportLifetime {
+		if !slices.ContainsFunc(list, func(r receivedReport) bool { return !r.expired(now) }) {
 			delete(t.reports, key)
 		}
 	}
--- a/relay/counters.go
+++ b/relay/counters.go
@@ -14,6 +14,7 @@
 // counters holds the metrics of a server, created once.
 type counters struct {
 	requests  *metrics.Counter
+	allHeld   *metrics.Counter // Requests rejected because the targets that are left leave or ask to wait.
 	failures  map[fault.Kind]*metrics.Counter
 	responses [6]*metrics.Counter // By the first digit of the status; zero if none was sent.
 	durations map[site.Kind]*metrics.Histogram
@@ -21,6 +22,7 @@
 
 func (c *counters) init(set *metrics.Set) {
 	c.requests = set.NewCounter("relay_requests_total")
+	c.allHeld = set.NewCounter("relay_requests_all_targets_held_total")
 	c.failures = make(map[fault.Kind]*metrics.Counter)
 	for _, k := range fault.KindValues() {
 		c.failures[k] = set.NewCounter(fmt.Sprintf("relay_failures_total{kind=%q}", k))
--- a/relay/dispatch.go
+++ b/relay/dispatch.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -51,6 +52,11 @@
 		if x.headerSent && !x.canResume(err) {
 			return err
 		}
+		if isHeld(err) {
+			x.attempts-- // It has not been sent, so the next one is not charged either.
+			x.skipRetryCharge = true
+			continue
+		}
 		if fault.From(err).Kind != fault.Expired { // Otherwise the target is not to blame.
 			tried = append(tried, t.ID)
 		}
@@ -82,12 +88,43 @@
 		if t, ok := x.chooseTarget(tried); ok {
 			return t, nil
 		}
+		if err := x.heldError(tried); err != nil {
+			return site.Target{}, cmp.Or(unknownOutcome, err)
+		}
 		if !x.waitForTarget(ctx) {
 			return site.Target{}, x.noTargetError(unknownOutcome)
 		}
 	}
 }
 
+// isHeld reports whether an attempt was not sent because its target has said
+// meanwhile that it leaves or asks to wait.
+func isHeld(err error) bool {
+	var held *place.HeldError
+	return errors.As(err, &held)
+}
+
+// heldError returns the error of a request for which only targets are left that leave
+// or have asked to wait, nil if there are others. The retry delay is the shortest of
+// their times, unless one of the targets that have been tried may be free earlier.
+func (x *exchange) heldError(tried []string) error {
+	admission := x.server.admission()
+	if admission.Empty() {
+		return nil
+	}
+	usable, now := x.server.Directory().Usable(x.service), x.server.Clock.Now()
+	untried := slices.DeleteFunc(slices.Clone(usable), func(t site.Target) bool { return slices.Contains(tried, t.ID) })
+	if _, held := admission.AllHeld(now, untried); !held {
+		return nil
+	}
+	retryAfter, all := admission.AllHeld(now, usable)
+	if !all {
+		retryAfter = noTargetRetryAfter
+	}
+	x.server.counters.allHeld.Inc()
+	return fault.New(fault.Busy, fault.NotRun, "the targets of %s that are left leave or have asked to wait", x.service).WithRetryAfter(retryAfter)
+}
+
 // afterRejection prepares the attempt after one that has not run. If a result that
 // the request reads is gone, the stages run again. It returns an error if there may
 // be no further attempt.
@@ -229,6 +266,9 @@
 		return place.Succeeded
 	}
 	e := fault.From(err)
+	if isHeld(err) {
+		return place.Unknown
+	}
 	switch e.Kind {
 	case fault.Canceled, fault.DeadlineExceeded:
 		return place.Unknown
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -82,6 +82,9 @@
 	defer x.releaseAll()
 	x.server.counters.requests.Inc()
 	x.server.recordRequest(x.service, x.arrived)
+	if err := x.heldError(nil); err != nil {
+		return x.fail(err)
+	}
 	if err := x.runStages(ctx); err != nil {
 		return x.fail(err)
 	}
--- a/relay/headers.go
+++ b/relay/headers.go
@@ -10,6 +10,8 @@
 	Target      string // Identifier of the target that the request is meant for.
 	Seal        string // Set by a target on every response that it makes itself; a response without it comes from something else.
 	NotRun      string // Set on a response if the target did not run the request.
+	Leaving     string // Set by a target on every response once it leaves; empty if targets do not say so.
+	Responder   string // Identifier of the target that responds in place of another one; empty if targets do not say so.
 	Load        string // Numbers of the target's running requests, waiting requests and slots, separated by commas.
 	PromptParts string // Parts of the prompt in order, ID:TOKENS, separated by commas.
 	StagePieces string // Number of pieces of each stage, separated by commas.
@@ -26,7 +28,7 @@
 func DefaultHeaderNames() HeaderNames {
 	return HeaderNames{
 		Request: "X-Request-Id", Deadline: "X-Timeout-Ms", AccountKey: "X-Api-Key", Account: "X-Account",
-		Target: "X-Target", Seal: "X-Target-Seal", NotRun: "X-Not-Run", Load: "X-Load",
+		Target: "X-Target", Seal: "X-Target-Seal", NotRun: "X-Not-Run", Leaving: "X-Leaving", Load: "X-Load",
 		PromptParts: "X-Prompt-Parts", StagePieces: "X-Stage-Pieces", PieceKey: "X-Stage-Key", Inputs: "X-Stage-Results",
 		LastEvent: "Last-Event-ID", Priority: "X-Urgency",
 	}
--- a/relay/report.go
+++ b/relay/report.go
@@ -63,7 +63,7 @@
 		Target: a.Key ^ member.Score(low, 0), Observer: uint16(low & reportHashMask),
 		Domain: uint16(low >> place.ReportHashBits & reportHashMask), Kind: place.ReportKind(low >> reportKindShift & reportKindMask),
 	}
-	known := r.Kind == place.Replaced || r.Kind == place.Silent
+	known := r.Kind == place.Replaced || r.Kind == place.Silent || r.Kind == place.Leaving
 	return r, a.Kind == targetReportKind && a.Value >= 0 && known
 }
 
@@ -89,6 +89,20 @@
 	if !ok || s.OnTargetReport == nil {
 		return
 	}
+	s.announceTarget(t, kind, err.Error())
+}
+
+// ReportLeaving announces that a target has told this node that it leaves.
+func (s *Server) ReportLeaving(t site.Target) {
+	s.once.Do(s.init)
+	if s.OnTargetReport != nil {
+		s.announceTarget(t, place.Leaving, "the target says that it leaves")
+	}
+}
+
+// announceTarget announces a report on a target, unless other nodes have reported the
+// target already.
+func (s *Server) announceTarget(t site.Target, kind place.ReportKind, reason string) {
 	now := s.Clock.Now()
 	s.mutex.Lock()
 	reported := s.placement.Reported(now, t, place.NameHash(s.Domain))
@@ -102,7 +116,7 @@
 		return
 	}
 	s.countReports("sent", kind)
-	s.Log.WithFields(logrus.Fields{"target": t.ID, "incarnation": t.Incarnation, "kind": kind.String(), "error": err.Error()}).Info("reporting a target to other nodes")
+	s.Log.WithFields(logrus.Fields{"target": t.ID, "incarnation": t.Incarnation, "kind": kind.String(), "reason": reason}).Info("reporting a target to other nodes")
 	s.OnTargetReport(TargetReport{At: now, Report: place.Report{
 		Target: place.TargetKey(t), Kind: kind, Observer: place.NameHash(s.Self), Domain: place.NameHash(s.Domain),
 	}})
@@ -145,6 +159,7 @@
 	if d := s.Directory(); d.Revision != s.prunedRevision {
 		s.prunedRevision = d.Revision
 		s.placement.Prune(s.Clock.Now(), d)
+		s.admission().Prune(s.Clock.Now(), d)
 	}
 }
 
--- a/relay/report_test.go
+++ b/relay/report_test.go
@@ -16,7 +16,7 @@
 func TestRandomReportAnnouncement(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		hash := rapid.Uint16Range(0, 1<<place.ReportHashBits-1)
-		kinds := []place.ReportKind{place.Replaced, place.Silent}
+		kinds := []place.ReportKind{place.Replaced, place.Silent, place.Leaving}
 		want := TargetReport{
 			At: time.UnixMilli(100 * rapid.Int64Range(0, 1<<34).Draw(t, "at")),
 			Report: place.Report{
@@ -45,7 +45,7 @@
 	for _, a := range []member.Announcement{
 		{Kind: lossKind, Value: 1 << reportKindShift},
 		{Kind: targetReportKind, Value: 0},
-		{Kind: targetReportKind, Value: 3 << reportKindShift},
+		{Kind: targetReportKind, Value: 1},
 		{Kind: targetReportKind, Value: -1},
 	} {
 		if _, ok := TargetReportFromAnnouncement(a); ok {
--- a/relay/server.go
+++ b/relay/server.go
@@ -62,6 +62,7 @@
 	View      func() member.View
 	Stages    StageRunner
 	Client    *wire.Client
+	Guard     *TargetGuard // That of Client; may be nil.
 	Bounds    func() Bounds
 	Clock     ports.Clock
 	Random    ports.Random
@@ -103,6 +104,9 @@
 	s.reportLimit = newReportLimit()
 	s.dropped = droppedHeaders(s.Names)
 	s.counters.init(s.Metrics)
+	if s.Guard != nil {
+		s.Guard.registerHolds()
+	}
 	s.Metrics.NewGauge("relay_buffered_bytes", func() float64 { return float64(s.buffers.used.Load()) })
 	s.Metrics.NewGauge("relay_targets_lost_with_requests", s.lossCount)
 	s.Metrics.NewGauge("relay_quarantined_fingerprints", s.quarantineCount)
@@ -197,6 +201,14 @@
 	return float64(max(n, 1))
 }
 
+// admission returns the decision on calls to targets, nil if there is none.
+func (s *Server) admission() *place.Admission {
+	if s.Guard == nil {
+		return nil
+	}
+	return s.Guard.Admission
+}
+
 func (s *Server) isClosed() bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
--- a/relay/stages.go
+++ b/relay/stages.go
@@ -248,6 +248,7 @@
 	s := x.server
 	c := place.Criteria{
 		Targets: s.Directory().Usable(x.service), Domain: s.Domain, Tried: tried, ColdRate: x.coldRate(), ColdPhase: s.coldPhase(),
+		Admission: s.admission(),
 	}
 	if x.route.Affinity {
 		c.Affinity = affinityHash(x.request.Headers.Get(s.Names.PromptParts))
--- a/relay/targetcall.go
+++ b/relay/targetcall.go
@@ -27,7 +27,7 @@
 		headers = append(headers, wire.Header{Name: n.Inputs, Value: strings.Join(inputs, ",")})
 	}
 	return wire.Call{
-		Address: t.Address, Method: x.request.Method, URI: x.request.URI, Headers: headers, Body: x.request.Body,
+		Address: t.Address, Target: t, Method: x.request.Method, URI: x.request.URI, Headers: headers, Body: x.request.Body,
 		NewConnection: !x.route.Retryable(), Correlation: wire.Header{Name: n.Request, Value: x.id},
 	}
 }
--- a/serve/node.go
+++ b/serve/node.go
@@ -16,6 +16,7 @@
 	"bergamotworks/member"
 	"bergamotworks/news"
 	"bergamotworks/peer"
+	"bergamotworks/place"
 	"bergamotworks/poison"
 	"bergamotworks/ports"
 	"bergamotworks/relay"
@@ -256,16 +257,21 @@
 }
 
 func (n *Node) assembleServing(clients net.Listener) {
+	guard := &relay.TargetGuard{
+		Admission: &place.Admission{}, Names: n.Names, Directory: n.news.Directory, Clock: n.Clock, Log: n.logger("relay"), Metrics: n.Metrics,
+	}
+	n.Client.Guard = guard
 	n.batch = &batch.Service{
 		Self: n.Settings.VM, Config: n.news.Config, Directory: n.news.Directory, View: n.members.View,
-		Runner: n.Runner, Peers: n.peers, Clock: n.Clock, Random: n.Random, Log: n.logger("batch"), Metrics: n.Metrics,
+		Runner: n.Runner, Admission: guard.Admission, Peers: n.peers, Clock: n.Clock, Random: n.Random, Log: n.logger("batch"), Metrics: n.Metrics,
 	}
 	n.relay = &relay.Server{
 		Listener: clients, Self: n.Settings.VM, Names: n.Names, Domain: n.Settings.Domain, Config: n.news.Config,
-		Directory: n.news.Directory, View: n.members.View, Stages: n.batch, Client: n.Client,
+		Directory: n.news.Directory, View: n.members.View, Stages: n.batch, Client: n.Client, Guard: guard,
 		Bounds: n.bounds, Clock: n.Clock, Random: n.Random, Log: n.logger("relay"), Metrics: n.Metrics,
 		Outdated: n.news.Outdated, OnEvidence: n.broadcastEvidence, OnTargetReport: n.broadcastTargetReport,
 	}
+	guard.OnLeaving = n.relay.ReportLeaving
 }
 
 func (n *Node) broadcastEvidence(e poison.Evidence) {
--- a/wire/client.go
+++ b/wire/client.go
@@ -13,6 +13,7 @@
 
 	"bergamotworks/fault"
 	"bergamotworks/ports"
+	"bergamotworks/site"
 )
 
 const (
@@ -39,6 +40,8 @@
 	IdleTimeout time.Duration
 	// OnDial is called after each dial, successful or not; may be nil.
 	OnDial func()
+	// Guard is asked about the calls to targets; may be nil.
+	Guard Guard
 
 	idle IdleConns
 }
@@ -46,6 +49,9 @@
 // Call is a request to send.
 type Call struct {
 	Address string // IP:port.
+	// Target is the target that is called, for [Client.Guard]. It has no ID if the call
+	// is to something else.
+	Target  site.Target
 	Method  string
 	URI     string
 	Headers Headers // Must have the Host field; Do adds Content-Length.
@@ -91,6 +97,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := c.admit(call); err != nil {
+		Discard(conn)
+		return nil, err
+	}
 	headerCtx, cancel := call.headerContext(ctx)
 	defer cancel()
 	stop := context.AfterFunc(headerCtx, func() { Discard(conn) })
@@ -104,6 +114,7 @@
 		writer.abort()
 		return nil, lostResponse(headerCtx, call.Address, err)
 	}
+	c.observe(call, r)
 	r.client, r.writer = c, writer
 	r.stop = context.AfterFunc(ctx, func() { Discard(conn) })
 	return r, nil
