relay: try further targets after refused connects

A sound request was rejected (503, "no target of svc takes the request") while over half of the targets were free.

Cause: each of these counted as a rejection, of which a request bears three. That limit is for targets that are full. A refused connect costs nothing, and says nothing of the other targets.

TestPath refused_connects, seven targets gone and one left, failed before.

--- a/relay/dispatch.go
+++ b/relay/dispatch.go
@@ -12,11 +12,13 @@
 	"bergamotworks/fault"
 	"bergamotworks/place"
 	"bergamotworks/site"
+	"bergamotworks/wire"
 )
 
 const (
-	// maxRejections is the number of targets that may reject a request; after
-	// a further rejection the client is told to retry later.
+	// maxRejections is the number of targets that may reject a request or not
+	// respond to a connect; after a further one the client is told to retry later.
+	// Targets whose host refuses the connection at once do not count.
 	maxRejections = 3
 	// noTargetRetryAfter is the retry delay sent to clients if no target
 	// accepts the request.
@@ -61,7 +63,10 @@
 			tried = append(tried, t.ID)
 		}
 		if fault.VerdictOf(err) == fault.NotRun {
-			if rejections++; rejections > maxRejections {
+			if !refusedConnect(err) {
+				rejections++
+			}
+			if rejections > maxRejections {
 				return x.noTargetError(unknownOutcome)
 			}
 			if err := x.afterRejection(ctx, err); err != nil {
@@ -104,6 +109,13 @@
 	return errors.As(err, &held)
 }
 
+// refusedConnect reports whether an attempt reached a host on which no process listens
+// at the address of the target.
+func refusedConnect(err error) bool {
+	var connectError *wire.ConnectError
+	return errors.As(err, &connectError) && connectError.Refused
+}
+
 // heldError returns the error of a request for which only targets are left that leave
 // or have asked to wait, nil if there are others. The retry delay is the shortest of
 // their times, unless one of the targets that have been tried may be free earlier.
--- a/relay/report.go
+++ b/relay/report.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"errors"
 	"fmt"
 	"time"
 
@@ -12,7 +11,6 @@
 	"bergamotworks/member"
 	"bergamotworks/place"
 	"bergamotworks/site"
-	"bergamotworks/wire"
 )
 
 const (
@@ -70,11 +68,10 @@
 // reportKindOf returns what a failed attempt says about the target, false if
 // nothing that other nodes should know.
 func reportKindOf(err error) (place.ReportKind, bool) {
-	var connectError *wire.ConnectError
 	switch e := fault.From(err); {
 	case e.Kind == fault.Conflict:
 		return place.Replaced, true
-	case errors.As(err, &connectError) && connectError.Refused:
+	case refusedConnect(err):
 		return place.Replaced, true
 	case e.Kind == fault.Unavailable:
 		return place.Silent, true
