batch: do not count calls that reached no target as attempts of their pieces

The same fault as with refused connects of requests: a piece failed after three targets that could not be reached, though others were free. Such calls count only once there were more than there are targets, so that work for a service that is gone still fails before its deadline.

TestTable unreachable_targets and TestPath refused_connects_pieces failed before.

--- a/batch/dispatch.go
+++ b/batch/dispatch.go
@@ -208,6 +208,18 @@
 	}
 }
 
+// countUnreached takes back an attempt for which no connection was established: the
+// other targets may be well. It counts once there were more than there are targets.
+func (t *Table) countUnreached(p *piece, e *fault.Error) {
+	if e.Kind != fault.Unavailable {
+		return
+	}
+	p.unreached++
+	if p.unreached <= len(t.targets) {
+		p.attempts--
+	}
+}
+
 // CallEnded records the end of a call. If err is nil, results holds one result
 // for each piece of the call, in their order. Otherwise results is ignored, the
 // target is in backoff and the pieces are queued again. A call that is unknown
@@ -230,6 +242,7 @@
 			state.addUntracked(now, t.Limits, call.bytes)
 		}
 		for _, p := range call.pieces {
+			t.countUnreached(p, e)
 			t.requeue(p, e)
 		}
 		t.dispatch(now)
--- a/batch/table.go
+++ b/batch/table.go
@@ -30,7 +30,8 @@
 	// report.
 	maxCapacityAge = 300 * time.Millisecond
 	// maxAttempts limits the attempts of one piece, without those that were
-	// rejected for lack of memory.
+	// rejected for lack of memory and those that reached no target, unless these
+	// are more than there are targets.
 	maxAttempts = 3
 )
 
@@ -62,9 +63,10 @@
 
 // piece is one piece of a group.
 type piece struct {
-	group    *group
-	index    int
-	attempts int
+	group     *group
+	index     int
+	attempts  int
+	unreached int // Calls for which no connection was established.
 }
 
 // Action is an operation that a [Table] requests from its [Service].
--- a/batch/table_test.go
+++ b/batch/table_test.go
@@ -13,6 +13,7 @@
 	"github.com/google/go-cmp/cmp/cmpopts"
 
 	"bergamotworks/batch"
+	"bergamotworks/fault"
 	"bergamotworks/place"
 	"bergamotworks/script"
 	"bergamotworks/site"
@@ -196,6 +197,8 @@
 	switch text {
 	case "":
 		return nil
+	case "unreachable":
+		return fault.New(fault.Unavailable, fault.NotRun, "no connection")
 	case "held":
 		return &place.HeldError{}
 	}
