relay, serve, node: answer the requests in flight at the end of a planned shutdown

Report of another operator: in a planned stop, requests that came late were passed on and cut without an answer at the end, some of them non-idempotent. It happens here: a request whose last bytes arrive after the node has begun to close connections was passed on, and at the end of the time limit all connections were closed, whatever ran on them.

Such a request is rejected now (503, not run). 500 ms before the end, the requests in flight are canceled and get a response that says whether they may have run: 503 while they wait for a stage or a target, 502 at a target. A stream that has begun still ends without its last event, which its client sees as broken off.

--- a/node/routes.go
+++ b/node/routes.go
@@ -26,6 +26,9 @@
 	routeRetrySlack   = 50
 	routeRetryWindow  = 10 * time.Second
 	drainPollInterval = 50 * time.Millisecond
+	// responseTimeout is the time in which requests that are in flight at the end of a
+	// planned shutdown get a response.
+	responseTimeout = 200 * time.Millisecond
 	// maxClassPriority is the maximum priority of a class. Since higher is more
 	// urgent in a class and lower in package site, siteRoute subtracts the
 	// priority of the class from it.
@@ -104,19 +107,33 @@
 }
 
 // drain closes idle connections, and the others after their current request, and
-// waits until none is open or the context ends.
+// waits until none is open. If the context ends before, the requests in flight get an
+// error response.
 func (r *routes) drain(ctx context.Context) error {
 	if r == nil {
 		return nil
 	}
 	r.server.Drain()
+	if r.waitForClients(ctx) {
+		return nil
+	}
+	r.server.EndRequests()
+	responses, cancel := context.WithTimeout(context.WithoutCancel(ctx), responseTimeout)
+	defer cancel()
+	r.waitForClients(responses)
+	return trace.Wrap(ctx.Err())
+}
+
+// waitForClients waits until no connection is open or the context ends, and reports
+// whether none is open.
+func (r *routes) waitForClients(ctx context.Context) bool {
 	for {
 		if connections, _ := r.server.Active(); connections == 0 {
-			return nil
+			return true
 		}
 		select {
 		case <-ctx.Done():
-			return trace.Wrap(ctx.Err())
+			return false
 		case <-r.node.Clock.After(drainPollInterval):
 		}
 	}
--- a/relay/check.go
+++ b/relay/check.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -95,8 +97,8 @@
 // client has disconnected. The retry delay is at most a third of the time that
 // the client would still wait. It reports whether the connection can be reused.
 func (x *exchange) fail(err error) bool {
-	e := fault.From(err)
-	x.err = err
+	e := x.afterShutdown(fault.From(err))
+	x.err = e
 	x.server.counters.recordFailure(e.Kind)
 	if x.headerSent {
 		return false
@@ -118,6 +120,19 @@
 	return true
 }
 
+// afterShutdown returns e, or the error of a request that was canceled because this
+// node shuts down.
+func (x *exchange) afterShutdown(e *fault.Error) *fault.Error {
+	if !errors.Is(context.Cause(x.client.context), errShuttingDown) {
+		return e
+	}
+	ended := fault.New(fault.Unavailable, e.Verdict, "this node shuts down; %s", e.Message)
+	if e.Verdict == fault.NotRun {
+		return ended.WithRetryAfter(shutdownRetryAfter)
+	}
+	return ended
+}
+
 // setWriteTimeout allows writeGrace beyond the timeout for writing the
 // response.
 func (c *clientConn) setWriteTimeout(timeout time.Duration) {
--- a/relay/conn.go
+++ b/relay/conn.go
@@ -25,6 +25,10 @@
 	writeGrace = 1 * time.Second
 )
 
+// errShuttingDown is the cause with which requests are canceled that are in flight at
+// the end of a planned shutdown.
+var errShuttingDown = errors.New("this node shuts down")
+
 // clientConn is the connection of one client.
 type clientConn struct {
 	server  *Server
@@ -32,7 +36,7 @@
 	reader  *bufio.Reader
 	writer  *bufio.Writer
 	context context.Context
-	cancel  context.CancelFunc
+	cancel  context.CancelCauseFunc
 	busy    atomic.Bool
 }
 
@@ -40,7 +44,7 @@
 	c := &clientConn{server: s, conn: conn}
 	c.reader = bufio.NewReaderSize(conn, readBufferSize)
 	c.writer = bufio.NewWriterSize(conn, writeBufferSize)
-	c.context, c.cancel = context.WithCancel(context.Background())
+	c.context, c.cancel = context.WithCancelCause(context.Background())
 	return c
 }
 
@@ -55,7 +59,7 @@
 
 // shutDown closes the connection and cancels its request.
 func (c *clientConn) shutDown() {
-	c.cancel()
+	c.cancel(nil)
 	_ = c.conn.Close() // There is nothing to do about an error.
 }
 
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -25,6 +25,9 @@
 	// outdatedRetryAfter is the retry delay sent to clients whose request might
 	// be valid in a newer configuration.
 	outdatedRetryAfter = 300 * time.Millisecond
+	// shutdownRetryAfter is the retry delay sent to clients whose requests this node
+	// no longer handles because it shuts down. Other nodes accept them.
+	shutdownRetryAfter = 50 * time.Millisecond
 )
 
 // exchange is the handling of one client request: its stages, its attempts at
@@ -97,6 +100,9 @@
 // prepare validates the request, looks up its route and client account and
 // selects the service. It returns an error if the request must not run.
 func (x *exchange) prepare() error {
+	if x.server.draining.Load() {
+		return fault.New(fault.Unavailable, fault.NotRun, "this node shuts down").WithRetryAfter(shutdownRetryAfter)
+	}
 	x.config = x.server.Config()
 	if !x.config.Loaded() || !x.server.Directory().Loaded() {
 		return fault.New(fault.Unavailable, fault.NotRun, "this node knows no configuration yet").WithRetryAfter(notReadyRetryAfter)
--- a/relay/server.go
+++ b/relay/server.go
@@ -243,6 +243,16 @@
 	}
 }
 
+// EndRequests cancels the requests in flight, which get responses that say whether they
+// may have run. It is called when the time for a planned shutdown is almost over.
+func (s *Server) EndRequests() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for c := range s.clients {
+		c.cancel(errShuttingDown)
+	}
+}
+
 // Close closes all connections, cancels their requests and waits until they
 // have ended.
 func (s *Server) Close() error {
--- a/serve/node.go
+++ b/serve/node.go
@@ -37,6 +37,9 @@
 	// closeReserve is the part of the shutdown timeout that is reserved for
 	// closing connections.
 	closeReserve = 500 * time.Millisecond
+	// responseReserve is the part of it in which requests that are still in flight get
+	// a response.
+	responseReserve = 200 * time.Millisecond
 	pollInterval = 50 * time.Millisecond // Between two checks for open connections.
 )
 
@@ -96,8 +99,9 @@
 // Stop performs a planned shutdown: the node reports that it is not ready, leaves
 // the membership, fails the work that it batches so that it is submitted to other
 // nodes, waits until DrainDelay has passed since the call so that the load
-// balancer notices, and finishes the requests in flight. Connections that are
-// still open shortly before the end of ShutdownTimeout are closed.
+// balancer notices, and finishes the requests in flight. Requests that are still in
+// flight shortly before the end of ShutdownTimeout get an error response, and then all
+// connections are closed.
 func (n *Node) Stop(ctx context.Context) error {
 	n.once.Do(func() { n.assembleError = n.assemble() })
 	if n.assembleError != nil {
@@ -112,7 +116,10 @@
 	n.batch.Leave()
 	n.sleep(ctx, started.Add(n.currentSettings().DrainDelay).Sub(n.Clock.Now()))
 	n.relay.Drain()
-	n.waitForClients(ctx, started.Add(n.currentSettings().ShutdownTimeout-closeReserve))
+	limit := started.Add(n.currentSettings().ShutdownTimeout - closeReserve)
+	n.waitForClients(ctx, limit)
+	n.relay.EndRequests()
+	n.waitForClients(ctx, limit.Add(responseReserve))
 	return n.close()
 }
 
