wire: observe what targets say of themselves in responses that are not believed

Its rejection names no request, so that on a kept connection it is rightly not taken for the response; but then its Retry-After was not seen either, and the target came back after a backoff of 0.5 s.

Whichever call a response is to, it is the word of the target that the connection leads to. So the guard observes each response before its identifier is compared.

TestPath wait_kept_connection failed before.

--- a/wire/client.go
+++ b/wire/client.go
@@ -107,14 +107,13 @@
 	writer, err := send(conn, call)
 	var r *Response
 	if err == nil {
-		r, err = awaitResponse(conn, call)
+		r, err = c.awaitResponse(conn, call)
 	}
 	stop()
 	if err != nil {
 		writer.abort()
 		return nil, lostResponse(headerCtx, call.Address, err)
 	}
-	c.observe(call, r)
 	r.client, r.writer = c, writer
 	r.stop = context.AfterFunc(ctx, func() { Discard(conn) })
 	return r, nil
@@ -189,13 +188,15 @@
 	return fault.New(fault.ConnectionLost, fault.MayHaveRun, "call to %s: %s", address, err)
 }
 
-// awaitResponse reads the header of the response that belongs to the call.
-func awaitResponse(conn *Conn, call Call) (*Response, error) {
+// awaitResponse reads the header of the response that belongs to the call. The guard
+// observes those that do not, too: they are the word of the same target.
+func (c *Client) awaitResponse(conn *Conn, call Call) (*Response, error) {
 	for range maxStrayResponses + 1 {
 		r, err := readResponse(conn, call.Method)
 		if err != nil {
 			return nil, err
 		}
+		c.observe(call, r)
 		value := r.Headers.Get(call.Correlation.Name)
 		if call.Correlation.Name == "" || value == call.Correlation.Value || value == "" && r.Status >= 400 && !conn.reused {
 			return r, nil
--- a/wire/guard.go
+++ b/wire/guard.go
@@ -9,7 +9,8 @@
 	// before the call is sent. If it returns an error, the call is not sent and fails
 	// with that error, which must wrap a *fault.Error with the verdict NotRun.
 	Admit(target site.Target) error
-	// Observe is called with the header of each response before the response is used.
+	// Observe is called with the header of each response that the target sends, whether
+	// or not it is the one to the call, before it is used.
 	Observe(target site.Target, status int, headers Headers)
 }
 
