place: let a target without an incarnation leave for half a minute only

A target of the product's own interface states no start time, so that a process that has started anew under its name and address would be held until the node restarts. Its last notice counts for 30 s now; then it gets a call again, and is held again if it still leaves. Found by reading.

--- a/place/admission.go
+++ b/place/admission.go
@@ -22,6 +22,9 @@
 	// leavingRetryAfter is the retry delay for clients if all targets leave. Those
 	// that replace them register within that time.
 	leavingRetryAfter = time.Second
+	// unstatedLeavingTime is how long the last notice of a target that states no
+	// incarnation counts: it may have started anew since then.
+	unstatedLeavingTime = 30 * time.Second
 	// unlistedRetention is how long the state of a target is kept after its entry
 	// has disappeared from the directory, where it may come back after an outage of
 	// the store.
@@ -45,7 +48,7 @@
 	// has not ended.
 	WaitRequested
 	// TargetLeaving means that the target has said that it leaves. It ends with the
-	// next incarnation.
+	// next incarnation, or after unstatedLeavingTime if the target states none.
 	TargetLeaving
 	// RampUp means that the time of WaitRequested has ended and that the target has
 	// got as many calls since then as it may get for now.
@@ -263,15 +266,20 @@
 			state.unlistedSince = now
 		}
 		expired := !listed && now.Sub(state.unlistedSince) >= unlistedRetention
-		if expired || !state.leaving && now.Sub(state.waitUntil) >= rampTime {
+		if expired || !state.leaves(now) && now.Sub(state.waitUntil) >= rampTime {
 			delete(a.targets, id)
 		}
 	}
 }
 
+// leaves reports whether the notice that the target leaves counts at now.
+func (s *admissionState) leaves(now time.Time) bool {
+	return s.leaving && (s.target.Incarnation != 0 || now.Sub(s.noticedAt) < unstatedLeavingTime)
+}
+
 func (s *admissionState) hold(now time.Time) Hold {
 	switch since := now.Sub(s.waitUntil); {
-	case s.leaving:
+	case s.leaves(now):
 		return Hold{Reason: TargetLeaving}
 	case s.waitUntil.IsZero() || since >= rampTime:
 		return Hold{}
