soak, relay, engine: have targets leave and ask to wait in the soak

Stand-ins for targets say at times that they leave, or reject calls and ask to wait for 4 s; they count the calls of each node afterwards, for which calls to targets name their VM (X-Sender, on the product's own interface only). A node is bound while neither it nor its connections to the target are disturbed.

--- a/engine/pieces.go
+++ b/engine/pieces.go
@@ -20,11 +20,15 @@
 // The header fields of calls to targets that process pieces.
 const (
 	HeaderTarget = "X-Target"  // Identifier of the target that a call is meant for.
+	HeaderSender = "X-Sender"  // Identifier of the VM that sends a call.
 	HeaderNotRun = "X-Not-Run" // Set on a response if the target has not run the call.
 )
 
 // PieceRunner calls the targets that process pieces, the work items of a stage.
-type PieceRunner struct{ Client *wire.Client }
+type PieceRunner struct {
+	Client *wire.Client
+	Self   string // Identifier of this VM.
+}
 
 var _ batch.Runner = (*PieceRunner)(nil)
 
@@ -104,7 +108,7 @@
 func (p *PieceRunner) call(ctx context.Context, target site.Target, method, uri string, body, result any) error {
 	call := wire.Call{
 		Address: target.Address, Target: target, Method: method, URI: uri,
-		Headers: wire.Headers{{Name: HeaderTarget, Value: target.ID}},
+		Headers: wire.Headers{{Name: HeaderTarget, Value: target.ID}, {Name: HeaderSender, Value: p.Self}},
 	}
 	return p.Client.DoJSON(ctx, call, body, result, func(r *wire.Response) error { return pieceStatusError(r, uri) })
 }
--- a/node/routes.go
+++ b/node/routes.go
@@ -59,7 +59,7 @@
 	r.client = &wire.Client{Network: n.Network, Clock: n.Clock, Guard: guard}
 	r.batch = &batch.Service{
 		Self: n.Settings.VM, Config: r.currentConfig, Directory: r.currentDirectory, View: n.members.View,
-		Runner: &engine.PieceRunner{Client: r.client}, Admission: guard.Admission, Peers: n.peers, Clock: n.Clock, Random: n.Random, Log: n.logger("batch"), Metrics: n.metrics,
+		Runner: &engine.PieceRunner{Client: r.client, Self: n.Settings.VM}, Admission: guard.Admission, Peers: n.peers, Clock: n.Clock, Random: n.Random, Log: n.logger("batch"), Metrics: n.metrics,
 	}
 	r.server = &relay.Server{
 		Listener: listener, Self: n.Settings.VM, Names: relay.DefaultHeaderNames(), Domain: n.Settings.Domain, Config: r.currentConfig,
--- a/relay/headers.go
+++ b/relay/headers.go
@@ -8,6 +8,7 @@
 	AccountKey  string // API key of the client account; never forwarded to targets.
 	Account     string // Name of the client account, set for the target.
 	Target      string // Identifier of the target that the request is meant for.
+	Sender      string // Identifier of the VM that sends a call, set for the target; empty if targets are not told.
 	Seal        string // Set by a target on every response that it makes itself; a response without it comes from something else.
 	NotRun      string // Set on a response if the target did not run the request.
 	Leaving     string // Set by a target on every response once it leaves; empty if targets do not say so.
@@ -28,7 +29,7 @@
 func DefaultHeaderNames() HeaderNames {
 	return HeaderNames{
 		Request: "X-Request-Id", Deadline: "X-Timeout-Ms", AccountKey: "X-Api-Key", Account: "X-Account",
-		Target: "X-Target", Seal: "X-Target-Seal", NotRun: "X-Not-Run", Leaving: "X-Leaving", Load: "X-Load",
+		Target: "X-Target", Sender: "X-Sender", Seal: "X-Target-Seal", NotRun: "X-Not-Run", Leaving: "X-Leaving", Load: "X-Load",
 		PromptParts: "X-Prompt-Parts", StagePieces: "X-Stage-Pieces", PieceKey: "X-Stage-Key", Inputs: "X-Stage-Results",
 		LastEvent: "Last-Event-ID", Priority: "X-Urgency",
 	}
--- a/relay/targetcall.go
+++ b/relay/targetcall.go
@@ -14,6 +14,9 @@
 	headers := x.forwardedHeaders()
 	headers = append(headers, wire.Header{Name: n.Deadline, Value: strconv.FormatInt(max(1, x.timeLeft().Milliseconds()), 10)},
 		wire.Header{Name: n.Target, Value: t.ID})
+	if n.Sender != "" {
+		headers = append(headers, wire.Header{Name: n.Sender, Value: x.server.Self})
+	}
 	if x.account.Name != "" {
 		headers = append(headers, wire.Header{Name: n.Account, Value: x.account.Name})
 	}
@@ -85,7 +88,7 @@
 	for _, f := range hopByHopHeaders() {
 		dropped[f] = true
 	}
-	for _, f := range append([]string{"proxy-authorization", "expect", n.AccountKey, n.Account, n.Target, n.Inputs, n.Priority, n.Deadline}, n.Reserved...) {
+	for _, f := range append([]string{"proxy-authorization", "expect", n.AccountKey, n.Account, n.Target, n.Sender, n.Inputs, n.Priority, n.Deadline}, n.Reserved...) {
 		dropped[strings.ToLower(f)] = true
 	}
 	return dropped
--- a/soak/env.go
+++ b/soak/env.go
@@ -26,7 +26,8 @@
 
 	workService         = "work"
 	pieceService        = "pieces"
-	targetsPerService   = 3 // Targets, one in each failure domain.
+	targetsPerService   = 3                     // Targets, one in each failure domain.
+	guestIndex          = 2 * targetsPerService // Index of the target that says at times that it leaves.
 	piecesPerRequest    = 5
 	resultCapacityBytes = 64 << 20
 	deadlineMS          = 1500
@@ -88,6 +89,9 @@
 			return err
 		}
 	}
+	if err := e.addTarget(guestIndex); err != nil {
+		return err
+	}
 	for i := range nodes {
 		if err := e.addNode(i, nodes); err != nil {
 			return err
@@ -97,10 +101,10 @@
 }
 
 func (e *env) addTarget(index int) error {
-	service := []string{workService, pieceService}[index/targetsPerService]
+	service := []string{workService, pieceService, workService}[index/targetsPerService]
 	real, proxied := e.address(100+index, 9000), e.address(100+index, 9001)
 	b := &backend{
-		target: &target{id: fmt.Sprintf("%s-%d", service, index%targetsPerService+1), address: real, proxyAddress: proxied, runs: e.runs},
+		target: &target{id: fmt.Sprintf("%s-%d", service, index+1), address: real, proxyAddress: proxied, runs: e.runs},
 		proxy:  &proxy{address: proxied, destination: real},
 		domain: domains()[index%targetsPerService],
 	}
@@ -112,6 +116,10 @@
 	return e.addProxy(b.proxy)
 }
 
+// guest returns the target that says at times that it leaves. The others of its service
+// stay.
+func (e *env) guest() *backend { return e.targets[guestIndex] }
+
 func (e *env) addProxy(p *proxy) error {
 	if err := p.start(); err != nil {
 		return trace.Wrap(err)
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -24,7 +26,9 @@
 	rejectAtTarget
 	abortAtTarget
 	drainDomain
-	faultKinds // Number of kinds.
+	faultKinds // Number of kinds that planFaults draws; planNotices draws the others.
+	leaveTarget
+	askToWait
 )
 
 const (
@@ -44,7 +48,7 @@
 func (f fault) String() string {
 	names := [...]string{
 		"kill node", "pause node", "shut down node", "reload node", "pause store", "disrupt store link", "disrupt client link", "disrupt target link", "reject at target",
-		"abort at target", "drain domain",
+		"abort at target", "drain domain", "", "leave", "ask to wait",
 	}
 	return fmt.Sprintf("%s %d at %s for %s (link %d)", names[f.kind], f.index, f.at.Round(time.Millisecond), f.duration.Round(time.Millisecond), f.link)
 }
@@ -54,12 +58,30 @@
 func planFaults(random *rand.Rand, length time.Duration, perSecond float64) []fault {
 	var faults []fault
 	for range int(length.Seconds() * perSecond) {
-		faults = append(faults, fault{
-			kind: faultKind(random.IntN(int(faultKinds))), index: random.IntN(1 << 16),
-			at:       time.Duration(random.Int64N(int64(length))),
-			duration: minFaultDuration + time.Duration(random.Int64N(int64(maxFaultDuration-minFaultDuration))),
-			link:     linkState(1 + random.IntN(int(reset))),
-		})
+		faults = append(faults, randomFault(random, length))
+	}
+	return faults
+}
+
+func randomFault(random *rand.Rand, length time.Duration) fault {
+	return fault{
+		kind: faultKind(random.IntN(int(faultKinds))), index: random.IntN(1 << 16),
+		at:       time.Duration(random.Int64N(int64(length))),
+		duration: minFaultDuration + time.Duration(random.Int64N(int64(maxFaultDuration-minFaultDuration))),
+		link:     linkState(1 + random.IntN(int(reset))),
+	}
+}
+
+// noticeShare is the number of notices of targets for each other fault.
+const noticeShare = 0.3
+
+// planNotices returns random notices of targets.
+func planNotices(random *rand.Rand, length time.Duration, perSecond float64) []fault {
+	var faults []fault
+	for range int(math.Ceil(length.Seconds() * perSecond * noticeShare)) {
+		f := randomFault(random, length)
+		f.kind = leaveTarget + faultKind(random.IntN(2))
+		faults = append(faults, f)
 	}
 	return faults
 }
@@ -102,19 +124,26 @@
 	case disruptTargetLink:
 		j.disrupt(b.proxy, f)
 	case rejectAtTarget:
-		b.target.rejecting.Store(true)
-		time.Sleep(f.duration)
-		b.target.rejecting.Store(false)
+		hold(&b.target.rejecting, f.duration)
 	case abortAtTarget:
-		b.target.aborting.Store(true)
-		time.Sleep(f.duration)
-		b.target.aborting.Store(false)
+		hold(&b.target.aborting, f.duration)
+	case leaveTarget:
+		hold(&e.guest().target.leaving, f.duration)
+	case askToWait:
+		hold(&b.target.asking, f.duration)
 	case drainDomain:
 		j.drain(b.domain, f.duration)
 	case faultKinds:
 	}
 }
 
+// hold sets a flag for a time.
+func hold(flag *atomic.Bool, duration time.Duration) {
+	flag.Store(true)
+	time.Sleep(duration)
+	flag.Store(false)
+}
+
 func (j *injector) recordError(err error) {
 	if err == nil {
 		return
--- a/soak/process.go
+++ b/soak/process.go
@@ -23,6 +23,7 @@
 	err          error         // Exit error of that run.
 	lastChange   time.Time     // When a fault of the process last started or ended.
 	activeFaults int           // Faults that have ended or paused the process.
+	faults       history
 }
 
 // start starts a run.
@@ -80,6 +81,15 @@
 	defer p.mutex.Unlock()
 	p.activeFaults += by
 	p.lastChange = time.Now()
+	p.faults.add(p.lastChange, p.activeFaults > 0)
+}
+
+// calmUntil returns the end of the time after from in which no fault of the process was
+// active, at most limit.
+func (p *process) calmUntil(from, limit time.Time) time.Time {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.faults.calmUntil(from, limit)
 }
 
 // undisturbed reports whether no fault of the process was active since a time.
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -31,6 +31,7 @@
 	mutex    sync.Mutex
 	state    linkState
 	changed  time.Time // When the state last changed.
+	faults   history
 	conns    map[net.Conn]struct{}
 	running  sync.WaitGroup
 }
@@ -53,6 +54,7 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.state, p.changed = state, time.Now()
+	p.faults.add(p.changed, state != passing)
 	if state == reset {
 		p.resetAll()
 	}
@@ -68,6 +70,14 @@
 	}
 }
 
+// calmUntil returns the end of the time after from in which data was forwarded at once,
+// at most limit.
+func (p *proxy) calmUntil(from, limit time.Time) time.Time {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.faults.calmUntil(from, limit)
+}
+
 func (p *proxy) current() linkState {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
--- a/soak/run.go
+++ b/soak/run.go
@@ -28,6 +28,9 @@
 	requiredSuccesses = 5
 	readyTimeout      = 2 * time.Second
 	storeStartTimeout = 10 * time.Second
+	// noticeStream is the stream of random numbers for the notices of targets, apart
+	// from that for all else, so that the faults of a seed do not depend on them.
+	noticeStream = 1
 )
 
 // Run is one run of the soak test. Exported fields must be set before [Run.Do].
@@ -69,12 +72,16 @@
 		return Report{}, err
 	}
 	faults := planFaults(random, r.Duration, r.FaultsPerSecond)
+	faults = append(faults, planNotices(rand.New(rand.NewPCG(r.Seed, noticeStream)), r.Duration, r.FaultsPerSecond)...)
 	clients, o, crashing := r.runLoad(ctx, e, random, faults)
 	report := Report{Changes: len(o.changes)}
 	if err := r.awaitRecovery(e, clients[0], o); err != nil {
 		report.Violations = append(report.Violations, err.Error())
 	}
 	report.Violations = append(report.Violations, e.shutDown()...)
+	noticeViolations, checked := e.checkNotices(r.CheckDeadlines)
+	report.Violations = append(report.Violations, noticeViolations...)
+	fmt.Fprintf(r.Output, "%d notices of targets checked\n", checked)
 	crashing.check(e.runs)
 	report.Violations = append(report.Violations, crashing.client.violations...)
 	fmt.Fprintln(r.Output, e.runs)
--- a/soak/target.go
+++ b/soak/target.go
@@ -43,6 +43,9 @@
 	running    sync.WaitGroup
 	rejecting  atomic.Bool // Reject all calls.
 	aborting   atomic.Bool // Close connections instead of responding after a run.
+	leaving    atomic.Bool // Say in all responses that the target leaves.
+	asking     atomic.Bool // Reject all calls and ask to wait.
+	notices    noticeLog
 	lastResult atomic.Int64
 	crashCount atomic.Int64
 }
@@ -81,6 +84,9 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if t.recordArrival(w, r) {
+		return
+	}
 	if t.rejecting.Load() {
 		w.Header().Set(names.NotRun, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
