--- a/serve/node.go
+++ b/serve/node.go
@@ -40,7 +40,7 @@
 	// responseReserve is the part of it in which requests that are still in flight get
 	// a response.
 	responseReserve = 200 * time.Millisecond
-	pollInterval = 50 * time.Millisecond // Between two checks for open connections.
+	pollInterval    = 50 * time.Millisecond // Between two checks for open connections.
 )
 
 // Node serves opaque routes. The exported fields are set before [Node.Run].
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -123,17 +123,26 @@
 		j.disrupt(n.routesProxy, f)
 	case disruptTargetLink:
 		j.disrupt(b.proxy, f)
+	case drainDomain:
+		j.drain(b.domain, f.duration)
+	case rejectAtTarget, abortAtTarget, leaveTarget, askToWait:
+		e.behave(f)
+	case faultKinds:
+	}
+}
+
+// behave lets a target behave differently for a time.
+func (e *env) behave(f fault) {
+	t := e.targets[f.index%len(e.targets)].target
+	switch f.kind {
 	case rejectAtTarget:
-		hold(&b.target.rejecting, f.duration)
+		hold(&t.rejecting, f.duration)
 	case abortAtTarget:
-		hold(&b.target.aborting, f.duration)
+		hold(&t.aborting, f.duration)
 	case leaveTarget:
 		hold(&e.guest().target.leaving, f.duration)
 	case askToWait:
-		hold(&b.target.asking, f.duration)
-	case drainDomain:
-		j.drain(b.domain, f.duration)
-	case faultKinds:
+		hold(&t.asking, f.duration)
 	}
 }
 
