--- a/admin/server.go
+++ b/admin/server.go
@@ -73,6 +73,17 @@
 	Pools     []owner.PoolStatus `json:"pools"`
 	Domains   []DomainStatus     `json:"domains"`
 	Pipelines []PipelineStatus   `json:"pipelines"`
+	// HeldTargets are the targets of opaque routes that get no calls from this node,
+	// since they have said that they leave or asked to wait.
+	HeldTargets []HeldTargetStatus `json:"held_targets,omitempty"`
+}
+
+// HeldTargetStatus says why a target gets no calls from a node, and until when.
+type HeldTargetStatus struct {
+	Target  string    `json:"target"`
+	Service string    `json:"service"`
+	Reason  string    `json:"reason"`
+	Until   time.Time `json:"until,omitzero"` // Zero if the end is not known.
 }
 
 // MemberStatus is the state of one node in the membership view of this one.
--- a/cmds/status.go
+++ b/cmds/status.go
@@ -4,7 +4,9 @@
 	"context"
 	"flag"
 	"fmt"
+	"io"
 	"text/tabwriter"
+	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
@@ -86,9 +88,25 @@
 			}
 		}
 	}
+	printHeldTargets(w, states)
 	return w.Flush()
 }
 
+// printHeldTargets lists the targets that get no calls from a node, if there are any.
+func printHeldTargets(w io.Writer, states []admin.Status) {
+	header := "\nNODE\tHELD TARGET\tSERVICE\tREASON\tUNTIL\n"
+	for _, n := range states {
+		for _, h := range n.HeldTargets {
+			until := "unknown"
+			if !h.Until.IsZero() {
+				until = h.Until.UTC().Format(time.RFC3339)
+			}
+			fmt.Fprintf(w, "%s%s\t%s\t%s\t%s\t%s\n", header, n.VM, h.Target, h.Service, h.Reason, until)
+			header = ""
+		}
+	}
+}
+
 // targetState returns "closed" for a target that accepts no calls, and the warm-up
 // phase of any other, with its cause if the target is not warm.
 func targetState(t pool.TargetStatus) string {
--- a/node/routes.go
+++ b/node/routes.go
@@ -10,6 +10,7 @@
 
 	"github.com/gravitational/trace"
 
+	"bergamotworks/admin"
 	"bergamotworks/batch"
 	"bergamotworks/engine"
 	"bergamotworks/note"
@@ -98,6 +99,18 @@
 	return err
 }
 
+// heldTargets returns the targets that get no calls.
+func (r *routes) heldTargets() []admin.HeldTargetStatus {
+	if r == nil {
+		return nil
+	}
+	var list []admin.HeldTargetStatus
+	for _, h := range r.server.Guard.Admission.Holds(r.node.Clock.Now()) {
+		list = append(list, admin.HeldTargetStatus{Target: h.Target.ID, Service: h.Target.Service, Reason: h.Hold.Reason.String(), Until: h.Hold.Until})
+	}
+	return list
+}
+
 // leave fails the unfinished work of the batch service, so that it is submitted
 // to other nodes.
 func (r *routes) leave() {
--- a/node/status.go
+++ b/node/status.go
@@ -18,6 +18,8 @@
 		Pools:     n.owner.Status(),
 		Domains:   domainStatus(config),
 		Pipelines: pipelineStatus(config),
+
+		HeldTargets: n.routes.heldTargets(),
 	}
 	if err := n.Ready(); err != nil {
 		status.Reason = err.Error()
