--- a/batch/dispatch.go
+++ b/batch/dispatch.go
@@ -1,7 +1,6 @@
 package batch
 
 import (
-	"errors"
 	"slices"
 	"strings"
 	"time"
@@ -192,13 +191,6 @@
 	t.actions = append(t.actions, action)
 }
 
-// isHeld reports whether a call was not sent because its target has said meanwhile
-// that it leaves or asks to wait.
-func isHeld(err error) bool {
-	var held *place.HeldError
-	return errors.As(err, &held)
-}
-
 // requeueUnsent queues the pieces of a call that was not sent again. The call does not
 // count as an attempt.
 func (t *Table) requeueUnsent(call *activeCall) {
@@ -232,7 +224,7 @@
 	delete(state.running, callID)
 	if err != nil {
 		e := fault.From(err)
-		if isHeld(err) {
+		if place.IsHeld(err) {
 			t.requeueUnsent(call)
 			t.dispatch(now)
 			return
--- a/batch/release.go
+++ b/batch/release.go
@@ -85,7 +85,7 @@
 	byTarget := make(map[string]ReleaseResults)
 	for _, h := range handles {
 		target, ok := directory.FindByAddress(TargetAddress(h))
-		if !ok || held(s.Admission.Hold(s.Clock.Now(), target)) {
+		if !ok || s.Admission.Hold(s.Clock.Now(), target).Excludes() {
 			continue
 		}
 		release := byTarget[target.ID]
--- a/batch/table.go
+++ b/batch/table.go
@@ -164,7 +164,7 @@
 	if state.hold.Reason == place.TargetLeaving {
 		state.toRelease = nil // They end with the target.
 	}
-	if len(state.toRelease) == 0 || held(state.hold) {
+	if len(state.toRelease) == 0 || state.hold.Excludes() {
 		return
 	}
 	t.actions = append(t.actions, ReleaseResults{Target: state.target, Handles: state.toRelease})
@@ -207,7 +207,7 @@
 
 // requestMeasurement queries the free capacity of a target unless it is held.
 func (t *Table) requestMeasurement(now time.Time, state *targetState) {
-	if !held(t.Admission.Hold(now, state.target)) {
+	if !t.Admission.Hold(now, state.target).Excludes() {
 		t.actions = append(t.actions, MeasureCapacity{Target: state.target})
 	}
 }
--- a/batch/target.go
+++ b/batch/target.go
@@ -88,12 +88,7 @@
 
 // usable reports whether the target accepts new calls: it is listed and has neither
 // said that it leaves nor asked to wait.
-func (s *targetState) usable() bool { return s.listed && !held(s.hold) }
-
-// held reports whether a target gets no calls, not even some later in its ramp-up.
-func held(h place.Hold) bool {
-	return h.Reason == place.WaitRequested || h.Reason == place.TargetLeaving
-}
+func (s *targetState) usable() bool { return s.listed && !s.hold.Excludes() }
 
 // allHeld returns the shortest time after which one of the listed targets may accept
 // calls again, if all of them, at least one, are held.
--- a/place/admission.go
+++ b/place/admission.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"errors"
 	"slices"
 	"strings"
 	"sync"
@@ -61,9 +62,10 @@
 	Until  time.Time // Zero if the end is not known.
 }
 
-// excludes reports whether the target can't serve a call that is made now, even if
-// the call waits for a moment.
-func (h Hold) excludes() bool { return h.Reason == WaitRequested || h.Reason == TargetLeaving }
+// Excludes reports whether the target has said that it leaves or asked to wait, so that
+// work should not wait for it. It is false in the ramp-up, which lets some calls through
+// each moment.
+func (h Hold) Excludes() bool { return h.Reason == WaitRequested || h.Reason == TargetLeaving }
 
 // retryAfter returns the time after which a client should retry.
 func (h Hold) retryAfter(now time.Time) time.Duration {
@@ -84,6 +86,13 @@
 // Unwrap returns the *fault.Error of kind Busy, whose verdict is NotRun.
 func (e *HeldError) Unwrap() error { return e.cause }
 
+// IsHeld reports whether err is that of a call that was not sent because its target is
+// held.
+func IsHeld(err error) bool {
+	var held *HeldError
+	return errors.As(err, &held)
+}
+
 // Admission decides to which targets this node may send calls, by what the targets
 // have said of themselves. All paths to targets share one, since a target counts the
 // calls of all of them. The zero value is ready for use, and a nil Admission admits
@@ -225,7 +234,7 @@
 	var shortest time.Duration
 	for _, t := range targets {
 		h := a.Hold(now, t)
-		if !h.excludes() {
+		if !h.Excludes() {
 			return 0, false
 		}
 		if wait := h.retryAfter(now); shortest == 0 || wait < shortest {
--- a/relay/dispatch.go
+++ b/relay/dispatch.go
@@ -54,7 +54,7 @@
 		if x.headerSent && !x.canResume(err) {
 			return err
 		}
-		if isHeld(err) {
+		if place.IsHeld(err) {
 			x.attempts-- // It has not been sent, so the next one is not charged either.
 			x.skipRetryCharge = true
 			continue
@@ -102,13 +102,6 @@
 	}
 }
 
-// isHeld reports whether an attempt was not sent because its target has said
-// meanwhile that it leaves or asks to wait.
-func isHeld(err error) bool {
-	var held *place.HeldError
-	return errors.As(err, &held)
-}
-
 // refusedConnect reports whether an attempt reached a host on which no process listens
 // at the address of the target.
 func refusedConnect(err error) bool {
@@ -278,7 +271,7 @@
 		return place.Succeeded
 	}
 	e := fault.From(err)
-	if isHeld(err) {
+	if place.IsHeld(err) {
 		return place.Unknown
 	}
 	switch e.Kind {
