--- a/soak/notice.go
+++ b/soak/notice.go
@@ -46,27 +46,46 @@
 	leaving bool // Otherwise it has asked to wait for askedWait.
 }
 
-// recordArrival records a call and gives the notices of the target in the header of its
-// response. It reports whether the target rejects the call.
-func (t *target) recordArrival(w http.ResponseWriter, r *http.Request) bool {
-	names, now := relay.DefaultHeaderNames(), time.Now()
-	a := arrival{node: r.Header.Get(names.Sender), at: now}
-	l := &t.notices
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	l.arrivals = append(l.arrivals, a)
-	if t.leaving.Load() {
+// ServeHTTP serves one call and gives the notices of the target in the header of its
+// response. A notice counts once the response has been sent to a node that still waits
+// for it; a call that panics breaks off without one.
+func (t *target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	names := relay.DefaultHeaderNames()
+	a := arrival{node: r.Header.Get(names.Sender), at: time.Now()}
+	t.notices.recordArrival(a)
+	leaving, asking := t.leaving.Load(), t.asking.Load()
+	if leaving {
 		w.Header().Set(names.Leaving, "1")
-		l.notices = append(l.notices, targetNotice{arrival: a, leaving: true})
 	}
-	if !t.asking.Load() {
-		return false
+	if asking {
+		w.Header().Set("Retry-After", strconv.FormatFloat(askedWait.Seconds(), 'f', -1, 64))
+		w.Header().Set(names.NotRun, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	} else {
+		t.serve(w, r)
+	}
+	if r.Context().Err() != nil {
+		return
 	}
-	w.Header().Set("Retry-After", strconv.FormatFloat(askedWait.Seconds(), 'f', -1, 64))
-	w.Header().Set(names.NotRun, "1")
-	w.WriteHeader(http.StatusServiceUnavailable)
-	l.notices = append(l.notices, targetNotice{arrival: a})
-	return true
+	a.at = time.Now()
+	if leaving {
+		t.notices.recordNotice(targetNotice{arrival: a, leaving: true})
+	}
+	if asking {
+		t.notices.recordNotice(targetNotice{arrival: a})
+	}
+}
+
+func (l *noticeLog) recordArrival(a arrival) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.arrivals = append(l.arrivals, a)
+}
+
+func (l *noticeLog) recordNotice(n targetNotice) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.notices = append(l.notices, n)
 }
 
 // window returns the time in which calls of the node count against the notice, and the
--- a/soak/target.go
+++ b/soak/target.go
@@ -72,8 +72,8 @@
 	t.running.Wait()
 }
 
-// ServeHTTP serves one call.
-func (t *target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+// serve serves one call that the target does not reject with a time to wait.
+func (t *target) serve(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
@@ -84,9 +84,6 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if t.recordArrival(w, r) {
-		return
-	}
 	if t.rejecting.Load() {
 		w.Header().Set(names.NotRun, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
