--- a/batch/target.go
+++ b/batch/target.go
@@ -1,7 +1,6 @@
 package batch
 
 import (
-	"slices"
 	"time"
 
 	"bergamotworks/fault"
@@ -79,48 +78,6 @@
 	t.dispatch(now)
 }
 
-// updateHolds reads whether the targets are held.
-func (t *Table) updateHolds(now time.Time) {
-	for _, state := range t.targets {
-		state.hold = t.Admission.Hold(now, state.target)
-	}
-}
-
-// usable reports whether the target accepts new calls: it is listed and has neither
-// said that it leaves nor asked to wait.
-func (s *targetState) usable() bool { return s.listed && !s.hold.Excludes() }
-
-// allHeld returns the shortest time after which one of the listed targets may accept
-// calls again, if all of them, at least one, are held.
-func (t *Table) allHeld(now time.Time) (time.Duration, bool) {
-	var listed []site.Target
-	for _, state := range t.targets {
-		if state.listed {
-			listed = append(listed, state.target)
-		}
-	}
-	return t.Admission.AllHeld(now, listed)
-}
-
-// heldError returns the error of work that no target of the service accepts for some
-// time.
-func (t *Table) heldError(w Work, wait time.Duration) error {
-	return fault.New(fault.Busy, fault.NotRun, "all targets of %s leave or have asked to wait", w.Service).WithRetryAfter(wait)
-}
-
-// failHeld fails the groups with waiting pieces if all targets are held.
-func (t *Table) failHeld(now time.Time) {
-	wait, all := t.allHeld(now)
-	if !all {
-		return
-	}
-	for _, g := range slices.Clone(t.queue) {
-		if len(g.waiting) > 0 {
-			t.fail(g, t.heldError(g.work, wait))
-		}
-	}
-}
-
 // requeueCalls queues the pieces in flight at a target again, since the
 // target has restarted. It does nothing if state is nil.
 func (t *Table) requeueCalls(state *targetState) {
--- a/relay/dispatch.go
+++ b/relay/dispatch.go
@@ -5,14 +5,11 @@
 	"context"
 	"errors"
 	"slices"
-	"strconv"
-	"strings"
 	"time"
 
 	"bergamotworks/fault"
 	"bergamotworks/place"
 	"bergamotworks/site"
-	"bergamotworks/wire"
 )
 
 const (
@@ -102,13 +99,6 @@
 	}
 }
 
-// refusedConnect reports whether an attempt reached a host on which no process listens
-// at the address of the target.
-func refusedConnect(err error) bool {
-	var connectError *wire.ConnectError
-	return errors.As(err, &connectError) && connectError.Refused
-}
-
 // heldError returns the error of a request for which only targets are left that leave
 // or have asked to wait, nil if there are others. The retry delay is the shortest of
 // their times, unless one of the targets that have been tried may be free earlier.
@@ -223,90 +213,3 @@
 	}
 	return fault.New(fault.Busy, fault.NotRun, "the budget for retries to %s is spent", x.service).WithRetryAfter(noTargetRetryAfter)
 }
-
-// attempt sends the request to one target and forwards its response. MayRetry
-// says whether a further attempt is allowed after a failure.
-func (x *exchange) attempt(ctx context.Context, t site.Target, mayRetry bool) error {
-	s := x.server
-	now := s.Clock.Now()
-	x.target = t.ID
-	s.mutex.Lock()
-	s.placement.CallStarted(now, t)
-	s.mutex.Unlock()
-	x.attempts++
-	resp, err := s.Client.Do(ctx, x.targetCall(t))
-	if err != nil {
-		return x.endAttempt(t, err)
-	}
-	defer resp.Close()
-	s.recordLoad(t, resp.Headers.Get(s.Names.Load))
-	if err := x.checkResponse(resp, mayRetry); err != nil {
-		return x.endAttempt(t, err)
-	}
-	return x.endAttempt(t, x.forward(ctx, resp))
-}
-
-// endAttempt records and logs the outcome of an attempt and returns err. A lost
-// connection is recorded as a crash of the target if the request may have run.
-func (x *exchange) endAttempt(t site.Target, err error) error {
-	s := x.server
-	s.mutex.Lock()
-	s.placement.CallEnded(s.Clock.Now(), t, outcomeOf(err))
-	s.mutex.Unlock()
-	if err == nil {
-		x.recordCompletion()
-		return nil
-	}
-	s.logFailedAttempt(x, t, err)
-	s.reportTarget(t, err)
-	if e := fault.From(err); e.Kind == fault.ConnectionLost && e.Verdict != fault.NotRun {
-		x.recordLoss(t)
-	}
-	return err
-}
-
-// outcomeOf returns what an error means for the health of a target.
-func outcomeOf(err error) place.Outcome {
-	if err == nil {
-		return place.Succeeded
-	}
-	e := fault.From(err)
-	if place.IsHeld(err) {
-		return place.Unknown
-	}
-	switch e.Kind {
-	case fault.Canceled, fault.DeadlineExceeded:
-		return place.Unknown
-	case fault.Unavailable, fault.ConnectionLost:
-		return place.Unreachable
-	case fault.Busy:
-		return place.Overloaded
-	case fault.Conflict:
-		return place.WrongTarget
-	}
-	var writeErr *clientWriteError
-	if errors.As(err, &writeErr) {
-		return place.Unknown
-	}
-	return place.Failed
-}
-
-// recordLoad records the load that a target reports as RUNNING,WAITING,SLOTS.
-// Malformed values are ignored.
-func (s *Server) recordLoad(t site.Target, text string) {
-	parts := strings.Split(text, ",")
-	if len(parts) != 3 {
-		return
-	}
-	var numbers [3]int
-	for i, p := range parts {
-		n, err := strconv.Atoi(strings.TrimSpace(p))
-		if err != nil || n < 0 {
-			return
-		}
-		numbers[i] = n
-	}
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.placement.LoadReported(s.Clock.Now(), t, place.Load{Running: numbers[0], Waiting: numbers[1], Slots: numbers[2]})
-}
