--- a/wire/guard_test.go
+++ b/wire/guard_test.go
@@ -67,3 +67,44 @@
 		t.Errorf("observed responses (-want +got):\n%s", diff)
 	}
 }
+
+// TestRejectionThatIsNotBelievedIsObserved makes the second call on a kept connection,
+// whose rejection names no request: it is not taken for the response to the call, but it
+// is the word of the target.
+func TestRejectionThatIsNotBelievedIsObserved(t *testing.T) {
+	calls := 0
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if calls++; calls == 1 {
+			w.Header().Set("X-Id", r.Header.Get("X-Id"))
+			return
+		}
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	defer server.Close()
+	guard, dials := &refusingGuard{admitted: 2}, 0
+	client := &wire.Client{Network: ports.SystemNetwork{}, Clock: ports.SystemClock{}, Guard: guard, OnDial: func() { dials++ }}
+	defer client.Close()
+	var got []string
+	for _, id := range []string{"a", "b"} {
+		call := wire.Call{
+			Address: strings.TrimPrefix(server.URL, "http://"), Target: site.Target{ID: "t"}, Method: http.MethodGet, URI: "/",
+			Headers: wire.Headers{{Name: "Host", Value: "h"}, {Name: "X-Id", Value: id}}, Correlation: wire.Header{Name: "X-Id", Value: id},
+		}
+		response, err := client.Do(context.Background(), call)
+		if err != nil {
+			got = append(got, fault.VerdictOf(err).String())
+			continue
+		}
+		got = append(got, http.StatusText(response.Status))
+		response.Close()
+	}
+	if diff := cmp.Diff([]string{"OK", "may_have_run"}, got); diff != "" {
+		t.Errorf("outcomes (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff([]int{http.StatusOK, http.StatusServiceUnavailable}, guard.observed); diff != "" {
+		t.Errorf("observed responses (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff(1, dials); diff != "" {
+		t.Errorf("connections (-want +got):\n%s", diff)
+	}
+}
