batch: list no targets for a hold while no notice of any is kept

Each dispatch built a list of the listed targets to ask whether all are held. It now ends at once if nothing is kept. Behaviour stays; tests of batch, place, relay and the linter pass.

--- a/batch/hold.go
+++ b/batch/hold.go
@@ -22,6 +22,9 @@
 // allHeld returns the shortest time after which one of the listed targets may accept
 // calls again, if all of them, at least one, are held.
 func (t *Table) allHeld(now time.Time) (time.Duration, bool) {
+	if t.Admission.Empty() {
+		return 0, false
+	}
 	var listed []site.Target
 	for _, state := range t.targets {
 		if state.listed {
--- a/place/admission.go
+++ b/place/admission.go
@@ -215,7 +215,7 @@
 	return nil
 }
 
-// Empty reports whether no target is held or in its ramp-up.
+// Empty reports whether no notice of a target is kept, so that none can be held.
 func (a *Admission) Empty() bool {
 	if a == nil {
 		return true
