--- a/review/rig/drain.go
+++ b/review/rig/drain.go
@@ -7,12 +7,12 @@
 )
 
 const (
-	drainTime     = 2 * time.Second // drainMs.
-	cutTime       = 3 * time.Second // Length of one cut.
-	cutPause      = 3 * time.Second // From the end of a cut to the start of the next one.
-	servesFurther = 6 * time.Second // After the entry of a worker was removed.
+	drainTime     = 2 * time.Second         // drainMs.
+	cutTime       = 2500 * time.Millisecond // Length of one cut.
+	cutPause      = 2500 * time.Millisecond // From the end of a cut to the start of the next one.
+	servesFurther = 6 * time.Second         // After the entry of a worker was removed.
 	drainNodes    = 12
-	drainCycles   = 15
+	drainCycles   = 20
 	drainWorkers  = 4
 	sendPause     = 20 * time.Millisecond
 )
