news: log the grace periods for expired entries and where they come from

The logs of a node do not say whether it retained the entries, or why: the start of a grace period was logged by a node that had read the store itself, not by one that was handed the period by another.

No decision changes.

--- a/news/fetch.go
+++ b/news/fetch.go
@@ -93,11 +93,16 @@
 	}
 	s.mutex.Lock()
 	now := s.Clock.Now()
+	before, extended := s.state.GraceRemaining(now), false
 	if u.GraceRemaining > 0 {
-		s.state.ExtendGrace(now, u.GraceRemaining)
+		extended = s.state.ExtendGrace(now, u.GraceRemaining)
 	}
 	change := s.state.ApplyPeer(now, sn)
+	silent := now.Sub(s.lastStoreRead)
 	s.mutex.Unlock()
+	if extended && before == 0 {
+		s.logGrace(u.GraceRemaining, silent, vm)
+	}
 	s.logChange(change, vm)
 }
 
--- a/news/service.go
+++ b/news/service.go
@@ -269,6 +269,7 @@
 	s.mutex.Unlock()
 	if recovered {
 		s.Log.WithFields(logrus.Fields{"silent_ms": age.Milliseconds(), "revision": d.Revision}).Info("store is readable again")
+		s.logGrace(reregisterGrace, age, "store")
 	}
 	s.logChange(change, "store")
 	return nil
--- a/news/state.go
+++ b/news/state.go
@@ -125,11 +125,14 @@
 }
 
 // ExtendGrace retains expired entries for at least the given time, as another
-// node does.
-func (s *State) ExtendGrace(now time.Time, grace time.Duration) {
-	if until := now.Add(grace); until.After(s.graceEnd) {
-		s.graceEnd = until
+// node does. It reports whether that is longer than before.
+func (s *State) ExtendGrace(now time.Time, grace time.Duration) bool {
+	until := now.Add(grace)
+	if !until.After(s.graceEnd) {
+		return false
 	}
+	s.graceEnd = until
+	return true
 }
 
 // ExpireGrace drops the retained entries if the grace period has ended.
