news: judge outages of the store by the reads of all VMs, not by those of one

Their targets answer on for a while and then end.

Cause: a VM whose own reads of the store had failed assumed an outage of the store, in which entries lapse, and retained missing entries for 2.2 s after its next read. It handed this time to every VM that fetched from it, and these took it over whatever they knew themselves.

Change: State keeps the latest time at which any VM is known to have read the directory: its own reads, and the age that others state when state is fetched from them. Only a read after more than 2 s without any starts a grace period. A VM that is cut off from the store asks others meanwhile, so it starts none either. In an outage of the store no VM can read it, and the first read, by whomever, starts the period on each. The period is still sent, for VMs of earlier versions, and shortens that of a VM which has seen the outage itself.

TestRandomState ends with reads at the interval of the product instead of one read 4.4 s after the other, with the same final check.

--- a/news/fetch.go
+++ b/news/fetch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"bergamotworks/fault"
 	"bergamotworks/member"
@@ -54,10 +55,11 @@
 	s.mutex.Unlock()
 	local.Transfers = true
 	var u update
+	sent := s.Clock.Now()
 	if err := s.Peers.Call(callCtx, vm, MethodFetch, local, &u); err != nil {
 		return update{}, err
 	}
-	s.apply(vm, u)
+	s.apply(vm, u, u.readAt(sent))
 	if u.ConfigRevision == 0 {
 		u.OperatorAge = maxAge // A VM of an earlier version does not state it.
 	}
@@ -82,27 +84,31 @@
 	return !s.state.matches(v)
 }
 
-// apply merges the update of another node.
-func (s *Service) apply(vm string, u update) {
-	sn := Snapshot{DrainedDomains: u.DrainedDomains, Unchanged: u.DirectoryVersion}
+// readAt returns the time of the read of the store from which the state of another
+// node comes, given the time at which its update was requested; zero if there was
+// none.
+func (u update) readAt(requested time.Time) time.Time {
+	if u.Age < 0 || u.Age == maxAge {
+		return time.Time{}
+	}
+	return requested.Add(-u.Age)
+}
+
+// apply merges the update of another node, which has read the store at readAt.
+func (s *Service) apply(vm string, u update, readAt time.Time) {
+	sn := Snapshot{DrainedDomains: u.DrainedDomains, Unchanged: u.DirectoryVersion, ReadAt: readAt}
 	if u.Config != nil {
 		sn.Config = site.NewConfig(*u.Config)
 	}
 	if u.Directory != nil {
 		sn.Directory = shiftTimes(*u.Directory, s.Clock.Now().Sub(u.Now))
 	}
-	s.mutex.Lock()
-	now := s.Clock.Now()
-	before, extended := s.state.GraceRemaining(now), false
 	if u.GraceRemaining > 0 {
-		extended = s.state.ExtendGrace(now, u.GraceRemaining)
+		sn.GraceEnd = s.Clock.Now().Add(u.GraceRemaining)
 	}
-	change := s.state.ApplyPeer(now, sn)
-	silent := now.Sub(s.lastStoreRead)
+	s.mutex.Lock()
+	change := s.state.Apply(s.Clock.Now(), sn)
 	s.mutex.Unlock()
-	if extended && before == 0 {
-		s.logGrace(u.GraceRemaining, silent, vm)
-	}
 	s.logChange(change, vm)
 }
 
--- a/news/fleet_test.go
+++ b/news/fleet_test.go
@@ -43,7 +43,7 @@
 	recentFrom    time.Time
 	configs       []time.Time   // Time of each change of the configuration, the first one included.
 	configChanged chan struct{} // Closed and replaced at each change of the configuration.
-	names         []string
+	names         []string      // Of the nodes.
 	random        ports.Random
 	readers       []member.VM
 	routes        int
@@ -52,6 +52,9 @@
 	// transfers take no time.
 	linkBytesPerSecond int
 	impaired           map[string]string // Kind of impairment by VM.
+	// unlisted are the targets whose entries the store does not hold now.
+	unlisted     map[string]bool
+	entryChanges int64 // Number of entries removed and registered again.
 }
 
 type readersNode struct {
@@ -68,7 +71,7 @@
 func newReadersEnv(c readersCase, seed uint64) *readersEnv {
 	e := &readersEnv{
 		started: time.Now(), nodes: make(map[string]*readersNode), revision: 1, rejected: make(map[string]bool),
-		routes: c.Routes, targets: c.Targets, linkBytesPerSecond: c.LinkBytesPerSecond, configs: []time.Time{time.Now()}, configChanged: make(chan struct{}), impaired: make(map[string]string),
+		routes: c.Routes, targets: c.Targets, linkBytesPerSecond: c.LinkBytesPerSecond, configs: []time.Time{time.Now()}, configChanged: make(chan struct{}), impaired: make(map[string]string), unlisted: make(map[string]bool),
 	}
 	e.recentFrom = e.started.Add(time.Duration(c.Seconds-5) * time.Second)
 	var vms []member.VM
@@ -241,7 +244,7 @@
 	if time.Since(n.env.started) < 5*time.Second {
 		n.env.startCalls++
 	}
-	if n.env.rejected[n.service.Self] {
+	if n.env.rejected[n.service.Self] || n.env.impaired[n.service.Self] == refused {
 		return fault.New(fault.Unavailable, fault.NotRun, "rejected by the store")
 	}
 	return nil
@@ -274,13 +277,14 @@
 	if e.revision == 1 {
 		d.Targets = append(d.Targets, site.Target{ID: "old", Address: "2"})
 	}
+	d.Targets = slices.DeleteFunc(d.Targets, func(t site.Target) bool { return e.unlisted[t.ID] })
 	return site.NewDirectory(d)
 }
 
 // directoryRevision returns the revision of the store, which increases with time
 // even if no target changes. The mutex is held.
 func (e *readersEnv) directoryRevision() int64 {
-	return 1000*e.revision + int64(time.Since(e.started)/time.Second)
+	return 1000*e.revision + 100*e.entryChanges + int64(time.Since(e.started)/time.Second)
 }
 
 // impairment returns the impairment of the node, if any.
--- a/news/log.go
+++ b/news/log.go
@@ -64,17 +64,13 @@
 	s.Log.WithFields(logrus.Fields{"what": subject, "silent_ms": age.Milliseconds(), "error": err.Error()}).Warn("failed to read the store")
 }
 
-// logGrace logs the start of a grace period for expired entries, the time since the
-// last known read of the store, and from where the grace period comes: "store" or the
-// ID of a VM.
-func (s *Service) logGrace(grace, silent time.Duration, from string) {
-	s.Metrics.GetOrCreateCounter("news_grace_periods_total").Inc()
-	s.Log.WithFields(logrus.Fields{"grace_ms": grace.Milliseconds(), "silent_ms": silent.Milliseconds(), "from": from}).Info("entries that expire are retained")
-}
-
 // logChange logs what a merge has changed. From is "store", the ID of the VM
 // that sent the state, or "time" if the grace period has ended.
 func (s *Service) logChange(c Change, from string) {
+	if c.Grace > 0 {
+		s.Metrics.GetOrCreateCounter("news_grace_periods_total").Inc()
+		s.Log.WithFields(logrus.Fields{"grace_ms": reregisterGrace.Milliseconds(), "silent_ms": c.Grace.Milliseconds(), "from": from}).Info("store is readable again; entries that expire are retained")
+	}
 	if c.Config {
 		config, age := s.Config(), s.OperatorStateAge() // The age before this change.
 		s.Log.WithFields(logrus.Fields{"version": config.Revision, "routes": len(config.Routes), "accounts": len(config.Accounts), "from": from, "operator_age_ms": age.Milliseconds()}).Info("configuration became active")
--- a/news/random_test.go
+++ b/news/random_test.go
@@ -23,15 +23,13 @@
 		for range rapid.IntRange(1, 80).Draw(t, "steps") {
 			e.now = e.now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "pause_ms")) * time.Millisecond)
 			node := rapid.IntRange(0, randomNodeCount-1).Draw(t, "node")
-			switch rapid.SampledFrom([]string{"change", "read", "read late", "fail", "send update", "restart"}).Draw(t, "step") {
+			switch rapid.SampledFrom([]string{"change", "read", "read late", "send update", "restart"}).Draw(t, "step") {
 			case "change":
 				e.change(t)
 			case "read":
 				e.read(t, node, len(e.history)-1)
 			case "read late":
 				e.read(t, node, rapid.IntRange(max(0, len(e.history)-5), len(e.history)-1).Draw(t, "revision"))
-			case "fail":
-				e.nodes[node].StoreReadFailed()
 			case "send update":
 				e.sendUpdate(t, node, rapid.IntRange(0, randomNodeCount-1).Draw(t, "other"))
 			case "restart":
@@ -109,18 +107,20 @@
 }
 
 func (e *stateEnv) read(t *rapid.T, node, revision int) {
-	e.nodes[node].ApplyStore(e.now, e.snapshot(revision))
+	sn := e.snapshot(revision)
+	sn.ReadAt = e.now
+	e.nodes[node].Apply(e.now, sn)
 	e.check(t, node)
 }
 
 // sendUpdate makes one node send another all of its state.
 func (e *stateEnv) sendUpdate(t *rapid.T, from, to int) {
 	s := e.nodes[from]
-	sn := Snapshot{Config: s.config, Unchanged: s.directoryVersion(e.now), DrainedDomains: s.drained}
+	sn := Snapshot{Config: s.config, Unchanged: s.directoryVersion(e.now), DrainedDomains: s.drained, ReadAt: s.lastRead}
 	if !e.nodes[to].matches(sn.Unchanged) {
 		sn.Directory = s.registered
 	}
-	e.nodes[to].ApplyPeer(e.now, sn)
+	e.nodes[to].Apply(e.now, sn)
 	e.check(t, to)
 }
 
@@ -156,13 +156,15 @@
 	return list
 }
 
-// checkFinal makes every node read the store after the grace period and checks
+// checkFinal makes every node read the store until after the grace period and checks
 // that it uses the targets that accept new work.
 func (e *stateEnv) checkFinal(t *rapid.T) {
 	last := len(e.history) - 1
 	for i := range e.nodes {
-		e.read(t, i, last)
-		e.now = e.now.Add(2 * reregisterGrace)
+		for range 2 * reregisterGrace / readInterval {
+			e.read(t, i, last)
+			e.now = e.now.Add(readInterval)
+		}
 		e.read(t, i, last)
 		var usable []string
 		for _, target := range e.nodes[i].Directory().Usable("svc") {
--- a/news/reader.go
+++ b/news/reader.go
@@ -102,7 +102,6 @@
 	if readAt := s.Clock.Now().Add(-u.Age); readAt.After(s.lastStoreRead) {
 		s.lastStoreRead = readAt
 	}
-	s.state.PeerReadStore()
 	return true
 }
 
--- a/news/reader_test.go
+++ b/news/reader_test.go
@@ -67,6 +67,7 @@
 const (
 	frozen             = "frozen"              // They do not run; calls to them get no response.
 	cutFromStore       = "cut_from_store"      // The store does not respond to them.
+	refused            = "refused"             // The store rejects all of their calls.
 	watchSilent        = "watch_silent"        // Their watches do not respond; other calls to the store do.
 	operatorReadsFail  = "operator_reads_fail" // The store rejects their reads and watches of the operator state.
 	watchMissesChanges = "watch_misses"        // Their watches report no changes.
--- a/news/service.go
+++ b/news/service.go
@@ -142,7 +142,8 @@
 	OperatorAge time.Duration `json:"operator_age_ns"`
 	// OperatorRevision is the latest revision of the store of which that is known.
 	OperatorRevision int64 `json:"operator_revision"`
-	// GraceRemaining is how long the sender still retains expired entries.
+	// GraceRemaining is how long the sender still retains expired entries. VMs of
+	// earlier versions then retain theirs as long; others if they know of an outage.
 	GraceRemaining time.Duration `json:"keep_ns,omitempty"`
 }
 
@@ -257,35 +258,18 @@
 	defer cancel()
 	d, err := s.Source.Directory(callCtx)
 	if err != nil {
-		s.directoryReadFailed(ctx)
 		s.recordReadError(ctx, "directory", err)
 		return err
 	}
 	s.mutex.Lock()
-	age := s.Clock.Now().Sub(s.lastStoreRead)
-	recovered := s.state.inOutage
-	s.lastStoreRead = s.Clock.Now()
-	change := s.state.ApplyStore(s.lastStoreRead, Snapshot{Directory: d})
+	now := s.Clock.Now()
+	s.lastStoreRead = now
+	change := s.state.Apply(now, Snapshot{Directory: d, ReadAt: now})
 	s.mutex.Unlock()
-	if recovered {
-		s.Log.WithFields(logrus.Fields{"silent_ms": age.Milliseconds(), "revision": d.Revision}).Info("store is readable again")
-		s.logGrace(reregisterGrace, age, "store")
-	}
 	s.logChange(change, "store")
 	return nil
 }
 
-// directoryReadFailed records an outage of the store, in which entries of targets
-// may expire that still run.
-func (s *Service) directoryReadFailed(ctx context.Context) {
-	if ctx.Err() != nil {
-		return
-	}
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.state.StoreReadFailed()
-}
-
 // sleep reports false if the context was canceled.
 func (s *Service) sleep(ctx context.Context, wait time.Duration) bool {
 	select {
--- a/news/state.go
+++ b/news/state.go
@@ -7,10 +7,16 @@
 	"bergamotworks/site"
 )
 
-// reregisterGrace is how long targets whose entries expired during an outage of
-// the store have to register again after it. Until then their entries are
-// retained.
-const reregisterGrace = 2200 * time.Millisecond
+const (
+	// reregisterGrace is how long targets whose entries expired during an outage of
+	// the store have to register again after it. Until then their entries are
+	// retained.
+	reregisterGrace = 2200 * time.Millisecond
+	// maxReadGap is the longest time between two reads of the directory, by any VMs,
+	// in which no outage is assumed. It is shorter than the time after which the
+	// entry of a target expires that can't renew it.
+	maxReadGap = 2 * time.Second
+)
 
 // DrainedDomains are the failure domains that operators have drained: their
 // targets accept no new work.
@@ -26,6 +32,11 @@
 	Directory      site.Directory // As registered; its DrainedDomains is not set.
 	DrainedDomains *DrainedDomains
 	Unchanged      directoryVersion // Used instead of Directory if it has the same targets.
+	// ReadAt is a time at which a VM has read the directory from the store, this one
+	// or another; zero if none is known.
+	ReadAt time.Time
+	// GraceEnd is the end of the grace period of the other node; zero if it has none.
+	GraceEnd time.Time
 }
 
 // directoryVersion identifies what a directory lists. The zero value stands for
@@ -47,10 +58,8 @@
 	registered     site.Directory
 	registeredHash uint64 // Of the targets of registered.
 	drained        *DrainedDomains
-	// inOutage means that the last read of the store failed and that no store
-	// reader has reported a successful read since.
-	inOutage bool
-	graceEnd time.Time // Expired entries are retained until then.
+	lastRead       time.Time // Latest time at which a VM is known to have read the directory from the store.
+	graceEnd       time.Time // Expired entries are retained until then; zero if none are.
 }
 
 // Change says what a merge has changed.
@@ -62,6 +71,9 @@
 	DrainedDomains bool     // The set of drained failure domains has changed.
 	Added          []string // Targets that accept new work and did not before.
 	Removed        []string // Targets that no longer accept new work.
+	// Grace is the time without any known read of the store if that starts a grace
+	// period for expired entries; otherwise zero.
+	Grace time.Duration
 }
 
 // Config returns the active configuration.
@@ -70,30 +82,10 @@
 // Directory returns the active directory.
 func (s *State) Directory() site.Directory { return s.directory }
 
-// StoreReadFailed records that the directory could not be read from the store.
-func (s *State) StoreReadFailed() { s.inOutage = true }
-
-// PeerReadStore records that a store reader has read the store. The grace
-// period for expired entries then comes from that node.
-func (s *State) PeerReadStore() { s.inOutage = false }
-
-// ApplyStore applies a snapshot that was read from the store at now. The first one
-// after an outage starts the grace period for expired entries.
-func (s *State) ApplyStore(now time.Time, sn Snapshot) Change {
-	if s.inOutage {
-		s.inOutage = false
-		s.graceEnd = now.Add(reregisterGrace)
-	}
-	return s.merge(now, sn)
-}
-
-// ApplyPeer applies a snapshot from another node.
-func (s *State) ApplyPeer(now time.Time, sn Snapshot) Change { return s.merge(now, sn) }
-
-// merge applies the parts of the snapshot that are not older than the present
-// ones. A configuration must be newer.
-func (s *State) merge(now time.Time, sn Snapshot) Change {
-	var c Change
+// Apply merges a snapshot of the store or of another node: the parts that are not
+// older than the present ones. A configuration must be newer.
+func (s *State) Apply(now time.Time, sn Snapshot) Change {
+	c := Change{Grace: s.recordRead(sn)}
 	if sn.Config.Loaded() && (!s.config.Loaded() || sn.Config.Revision > s.config.Revision) {
 		s.config = sn.Config
 		c.Config = true
@@ -116,6 +108,29 @@
 	return c
 }
 
+// recordRead records that a VM has read the directory from the store. If no VM is
+// known to have done so for longer than maxReadGap before, the store may have been
+// down for all of them, and a grace period starts. It ends when that of the node ends
+// that sent the snapshot and may have read the store earlier. A VM that alone could
+// not read the store learns from others that they could, and a grace period of another
+// node alone starts none. It returns the time without a read if one starts.
+func (s *State) recordRead(sn Snapshot) time.Duration {
+	if !sn.ReadAt.After(s.lastRead) {
+		return 0
+	}
+	gap := sn.ReadAt.Sub(s.lastRead)
+	first := s.lastRead.IsZero()
+	s.lastRead = sn.ReadAt
+	if first || gap <= maxReadGap {
+		return 0
+	}
+	s.graceEnd = sn.ReadAt.Add(reregisterGrace)
+	if !sn.GraceEnd.IsZero() && sn.GraceEnd.Before(s.graceEnd) {
+		s.graceEnd = sn.GraceEnd
+	}
+	return gap
+}
+
 // GraceRemaining returns how long expired entries are still retained.
 func (s *State) GraceRemaining(now time.Time) time.Duration {
 	if s.graceEnd.IsZero() {
@@ -124,17 +139,6 @@
 	return max(0, s.graceEnd.Sub(now))
 }
 
-// ExtendGrace retains expired entries for at least the given time, as another
-// node does. It reports whether that is longer than before.
-func (s *State) ExtendGrace(now time.Time, grace time.Duration) bool {
-	until := now.Add(grace)
-	if !until.After(s.graceEnd) {
-		return false
-	}
-	s.graceEnd = until
-	return true
-}
-
 // ExpireGrace drops the retained entries if the grace period has ended.
 func (s *State) ExpireGrace(now time.Time) Change {
 	var c Change
--- a/news/state_test.go
+++ b/news/state_test.go
@@ -25,6 +25,9 @@
 	AtMS     int64 `json:"at_ms"`
 	Failed   bool  `json:"failed"` // The store could not be read.
 	FromPeer bool  `json:"heard"`  // The snapshot comes from another node.
+	// PeerReadMS is the time at which the other node has read the store; zero if it
+	// has not.
+	PeerReadMS int64 `json:"peer_read_ms"`
 	// ConfigRevision, Targets and DrainedDomains are the snapshot; a revision of
 	// zero leaves its part out.
 	ConfigRevision     int64    `json:"version"`
@@ -48,11 +51,16 @@
 		now := start.Add(time.Duration(p.AtMS) * time.Millisecond)
 		switch {
 		case p.Failed:
-			s.StoreReadFailed()
 		case p.FromPeer:
-			s.ApplyPeer(now, p.snapshot())
+			sn := p.snapshot()
+			if p.PeerReadMS > 0 {
+				sn.ReadAt = start.Add(time.Duration(p.PeerReadMS) * time.Millisecond)
+			}
+			s.Apply(now, sn)
 		default:
-			s.ApplyStore(now, p.snapshot())
+			sn := p.snapshot()
+			sn.ReadAt = now
+			s.Apply(now, sn)
 		}
 		var usable []string
 		for _, target := range s.Directory().Usable("svc") {
--- a/news/transfer.go
+++ b/news/transfer.go
@@ -83,7 +83,7 @@
 		return fault.New(fault.Internal, fault.NotRun, "configuration %d of %s: %s", reply.Revision, vm, err)
 	}
 	s.mutex.Lock()
-	change := s.state.ApplyPeer(s.Clock.Now(), Snapshot{Config: site.NewConfig(config)})
+	change := s.state.Apply(s.Clock.Now(), Snapshot{Config: site.NewConfig(config)})
 	s.mutex.Unlock()
 	s.logChange(change, vm)
 	return nil
@@ -123,6 +123,6 @@
 	if err := wire.Decompress(reply.Data, &d); err != nil {
 		return fault.New(fault.Internal, fault.NotRun, "directory of %s: %s", vm, err)
 	}
-	s.apply(vm, update{Directory: &d, Now: reply.Now})
+	s.apply(vm, update{Directory: &d, Now: reply.Now}, time.Time{})
 	return nil
 }
--- a/news/version_test.go
+++ b/news/version_test.go
@@ -34,7 +34,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	s := &Service{Self: "a", Clock: ports.SystemClock{}, Log: logrus.NewEntry(log), Metrics: metrics.NewSet(), Peers: earlierVersion(c.Response)}
-	s.state.ApplyPeer(time.Now(), Snapshot{Config: site.NewConfig(site.Config{Revision: 3})})
+	s.state.Apply(time.Now(), Snapshot{Config: site.NewConfig(site.Config{Revision: 3})})
 	var request revisions
 	if err := json.Unmarshal(c.Request, &request); err != nil {
 		t.Fatal(err)
