news: keep entries that lapsed in an outage until a read after it lacks them

What callers saw: after an outage of the store, a target whose entry had lapsed and that registered again 1.9 s after the outage was dropped for up to 1.2 s more, until the next read; its service had fewer targets at the moment of recovery.

Cause: the grace period ended by time, 2.2 s after the first read. What was dropped then was judged by a directory that was read up to 1.65 s earlier. If the store was lost again within the period, the entries were dropped by time, too, without any read.

Change: a retained entry is dropped by the first directory that was read at or after the end of the period. Nodes refresh at that moment, then every 100 ms for at most a second while what they fetch is older.

--- a/news/fetch.go
+++ b/news/fetch.go
@@ -59,12 +59,13 @@
 	if err := s.Peers.Call(callCtx, vm, MethodFetch, local, &u); err != nil {
 		return update{}, err
 	}
-	s.apply(vm, u, u.readAt(sent))
+	readAt := u.readAt(sent)
+	s.apply(vm, u, readAt)
 	if u.ConfigRevision == 0 {
 		u.OperatorAge = maxAge // A VM of an earlier version does not state it.
 	}
 	if u.DirectoryVersion.Revision > local.DirectoryRevision && s.lacks(u.DirectoryVersion) {
-		if err := s.fetchDirectory(ctx, vm); err != nil {
+		if err := s.fetchDirectory(ctx, vm, readAt); err != nil {
 			return update{}, err
 		}
 	}
@@ -107,7 +108,7 @@
 		sn.GraceEnd = s.Clock.Now().Add(u.GraceRemaining)
 	}
 	s.mutex.Lock()
-	change := s.state.Apply(s.Clock.Now(), sn)
+	change := s.state.Apply(sn)
 	s.mutex.Unlock()
 	s.logChange(change, vm)
 }
--- a/news/log.go
+++ b/news/log.go
@@ -64,8 +64,8 @@
 	s.Log.WithFields(logrus.Fields{"what": subject, "silent_ms": age.Milliseconds(), "error": err.Error()}).Warn("failed to read the store")
 }
 
-// logChange logs what a merge has changed. From is "store", the ID of the VM
-// that sent the state, or "time" if the grace period has ended.
+// logChange logs what a merge has changed. From is "store" or the ID of the VM that
+// sent the state.
 func (s *Service) logChange(c Change, from string) {
 	if c.Grace > 0 {
 		s.Metrics.GetOrCreateCounter("news_grace_periods_total").Inc()
--- a/news/operators.go
+++ b/news/operators.go
@@ -68,7 +68,7 @@
 	}
 	defer s.confirmOperatorState(sent, o.Revision)
 	s.mutex.Lock()
-	change := s.state.Apply(s.Clock.Now(), Snapshot{
+	change := s.state.Apply(Snapshot{
 		Config: o.Config, DrainedDomains: &DrainedDomains{Domains: o.DrainedDomains, Revision: o.Revision},
 	})
 	s.mutex.Unlock()
--- a/news/random_test.go
+++ b/news/random_test.go
@@ -109,7 +109,7 @@
 func (e *stateEnv) read(t *rapid.T, node, revision int) {
 	sn := e.snapshot(revision)
 	sn.ReadAt = e.now
-	e.nodes[node].Apply(e.now, sn)
+	e.nodes[node].Apply(sn)
 	e.check(t, node)
 }
 
@@ -120,7 +120,7 @@
 	if !e.nodes[to].matches(sn.Unchanged) {
 		sn.Directory = s.registered
 	}
-	e.nodes[to].Apply(e.now, sn)
+	e.nodes[to].Apply(sn)
 	e.check(t, to)
 }
 
@@ -133,7 +133,6 @@
 		t.Fatalf("node %d went back to configuration %d, targets %d, drained domains %d after %+v", node, s.config.Revision, s.registered.Revision, s.drained.Revision, *newest)
 	}
 	newest.configRevision, newest.registered, newest.drained = s.config.Revision, s.registered.Revision, s.drained.Revision
-	s.ExpireGrace(e.now)
 	if want, got := e.history[s.registered.Revision-1].targets, ids(s.registered); !slices.Equal(slices.Sorted(slices.Values(want)), got) {
 		t.Fatalf("node %d has targets %v at revision %d, want %v", node, got, s.registered.Revision, want)
 	}
@@ -141,7 +140,7 @@
 		if slices.Contains(s.drained.Domains, target.Domain) {
 			t.Fatalf("node %d uses %s in a drained failure domain", node, target.ID)
 		}
-		if _, ok := s.registered.Find(target.ID); !ok && e.now.After(s.graceEnd) {
+		if _, ok := s.registered.Find(target.ID); !ok && !s.registeredAt.Before(s.graceEnd) {
 			t.Fatalf("node %d uses %s, which is not registered", node, target.ID)
 		}
 	}
--- a/news/report_test.go
+++ b/news/report_test.go
@@ -39,7 +39,7 @@
 			s.ObserveRevision("b", p.Reported)
 		}
 		if p.Active > 0 {
-			s.state.Apply(time.Now(), Snapshot{Config: site.NewConfig(site.Config{Revision: p.Active})})
+			s.state.Apply(Snapshot{Config: site.NewConfig(site.Config{Revision: p.Active})})
 		}
 		if p.Dead {
 			b.State = member.Dead
--- a/news/service.go
+++ b/news/service.go
@@ -21,6 +21,9 @@
 const (
 	readInterval  = 1050 * time.Millisecond // Between two reads of the directory.
 	retryInterval = 300 * time.Millisecond  // Between two attempts to read the directory while the store does not respond.
+	// graceRefreshInterval is the time between two refreshes while the entries that
+	// were retained in a grace period must be confirmed.
+	graceRefreshInterval = 100 * time.Millisecond
 	// operatorRetryInterval is the time between two attempts to read the operator
 	// state while that fails. Peers are asked for it meanwhile.
 	operatorRetryInterval = 600 * time.Millisecond
@@ -234,22 +237,19 @@
 	return max(readInterval, time.Duration(len(s.View().Live()))*fleetRetryInterval)
 }
 
-// waitNextRefresh waits until the next refresh and drops retained entries when
-// their grace period ends. It reports false if the context was canceled.
+// waitNextRefresh waits until the next refresh, which comes earlier at the end of a
+// grace period. It reports false if the context was canceled.
 func (s *Service) waitNextRefresh(ctx context.Context, wait time.Duration) bool {
 	s.mutex.Lock()
-	grace := s.state.GraceRemaining(s.Clock.Now())
+	now := s.Clock.Now()
+	grace, awaitsRead := s.state.GraceRemaining(now), s.state.awaitsRead(now)
 	s.mutex.Unlock()
-	if grace > 0 && grace < wait {
-		if !s.sleep(ctx, grace) {
-			return false
-		}
-		wait -= grace
+	switch {
+	case grace > 0:
+		wait = min(wait, grace)
+	case awaitsRead:
+		wait = min(wait, graceRefreshInterval)
 	}
-	s.mutex.Lock()
-	change := s.state.ExpireGrace(s.Clock.Now())
-	s.mutex.Unlock()
-	s.logChange(change, "time")
 	return s.sleep(ctx, wait)
 }
 
@@ -264,7 +264,7 @@
 	s.mutex.Lock()
 	now := s.Clock.Now()
 	s.lastStoreRead = now
-	change := s.state.Apply(now, Snapshot{Directory: d, ReadAt: now})
+	change := s.state.Apply(Snapshot{Directory: d, ReadAt: now})
 	s.mutex.Unlock()
 	s.logChange(change, "store")
 	return nil
--- a/news/state.go
+++ b/news/state.go
@@ -58,15 +58,20 @@
 	registered     site.Directory
 	registeredHash uint64 // Of the targets of registered.
 	drained        *DrainedDomains
-	lastRead       time.Time // Latest time at which a VM is known to have read the directory from the store.
-	graceEnd       time.Time // Expired entries are retained until then; zero if none are.
+	// lastRead is the latest time at which a VM is known to have read the directory
+	// from the store, and registeredAt that of which registered is the result.
+	lastRead     time.Time
+	registeredAt time.Time
+	// graceEnd is the time at which registered must be read to tell that a target
+	// has not registered again. Expired entries are retained until then.
+	graceEnd time.Time
 }
 
 // Change says what a merge has changed.
 type Change struct {
 	Config bool
-	// Directory means that a directory or drained failure domains were applied or
-	// that the grace period has ended. The active directory may be unchanged.
+	// Directory means that a directory or drained failure domains were applied. The
+	// active directory may be unchanged.
 	Directory      bool
 	DrainedDomains bool     // The set of drained failure domains has changed.
 	Added          []string // Targets that accept new work and did not before.
@@ -84,7 +89,7 @@
 
 // Apply merges a snapshot of the store or of another node: the parts that are not
 // older than the present ones. A configuration must be newer.
-func (s *State) Apply(now time.Time, sn Snapshot) Change {
+func (s *State) Apply(sn Snapshot) Change {
 	c := Change{Grace: s.recordRead(sn)}
 	if sn.Config.Loaded() && (!s.config.Loaded() || sn.Config.Revision > s.config.Revision) {
 		s.config = sn.Config
@@ -102,12 +107,23 @@
 		s.registered = s.registered.WithRevision(sn.Unchanged.Revision)
 		c.Directory = true
 	}
+	if s.includes(sn) && sn.ReadAt.After(s.registeredAt) {
+		c.Directory = c.Directory || s.retains()
+		s.registeredAt = sn.ReadAt
+	}
 	if c.Directory {
-		s.rebuild(now, &c)
+		s.rebuild(&c)
 	}
 	return c
 }
 
+// includes reports whether the registered directory is at least as new as that of
+// a snapshot that was just merged.
+func (s *State) includes(sn Snapshot) bool {
+	revision := max(sn.Directory.Revision, sn.Unchanged.Revision)
+	return revision != 0 && s.registered.Loaded() && s.registered.Revision >= revision
+}
+
 // recordRead records that a VM has read the directory from the store. If no VM is
 // known to have done so for longer than maxReadGap before, the store may have been
 // down for all of them, and a grace period starts. It ends when that of the node ends
@@ -131,24 +147,22 @@
 	return gap
 }
 
-// GraceRemaining returns how long expired entries are still retained.
+// retains reports whether expired entries are retained.
+func (s *State) retains() bool { return s.registeredAt.Before(s.graceEnd) }
+
+// GraceRemaining returns the time until the end of the grace period, after which the
+// directory must be read to drop the entries that are retained; zero if it has ended.
 func (s *State) GraceRemaining(now time.Time) time.Duration {
-	if s.graceEnd.IsZero() {
+	if !s.retains() {
 		return 0
 	}
 	return max(0, s.graceEnd.Sub(now))
 }
 
-// ExpireGrace drops the retained entries if the grace period has ended.
-func (s *State) ExpireGrace(now time.Time) Change {
-	var c Change
-	if s.graceEnd.IsZero() || now.Before(s.graceEnd) {
-		return c
-	}
-	s.graceEnd = time.Time{}
-	c.Directory = true
-	s.rebuild(now, &c)
-	return c
+// awaitsRead reports whether the grace period ended not long ago and the directory
+// has not been read since, so that it should be read soon.
+func (s *State) awaitsRead(now time.Time) bool {
+	return s.retains() && !now.Before(s.graceEnd) && now.Sub(s.graceEnd) < readInterval
 }
 
 // setDiff sets the differences between two directories.
@@ -171,12 +185,12 @@
 }
 
 // rebuild computes the active directory and sets the differences in c.
-func (s *State) rebuild(now time.Time, c *Change) {
+func (s *State) rebuild(c *Change) {
 	if !s.registered.Loaded() || s.drained == nil {
 		return
 	}
 	next := s.registered
-	if now.Before(s.graceEnd) {
+	if s.retains() {
 		next = next.WithRetained(s.unlisted(s.registered))
 	}
 	before := s.directory
--- a/news/state_test.go
+++ b/news/state_test.go
@@ -50,17 +50,17 @@
 	for i, p := range c.Steps {
 		now := start.Add(time.Duration(p.AtMS) * time.Millisecond)
 		switch {
-		case p.Failed:
+		case p.Failed: // Nothing is applied.
 		case p.FromPeer:
 			sn := p.snapshot()
 			if p.PeerReadMS > 0 {
 				sn.ReadAt = start.Add(time.Duration(p.PeerReadMS) * time.Millisecond)
 			}
-			s.Apply(now, sn)
+			s.Apply(sn)
 		default:
 			sn := p.snapshot()
 			sn.ReadAt = now
-			s.Apply(now, sn)
+			s.Apply(sn)
 		}
 		var usable []string
 		for _, target := range s.Directory().Usable("svc") {
--- a/news/transfer.go
+++ b/news/transfer.go
@@ -83,7 +83,7 @@
 		return fault.New(fault.Internal, fault.NotRun, "configuration %d of %s: %s", reply.Revision, vm, err)
 	}
 	s.mutex.Lock()
-	change := s.state.Apply(s.Clock.Now(), Snapshot{Config: site.NewConfig(config)})
+	change := s.state.Apply(Snapshot{Config: site.NewConfig(config)})
 	s.mutex.Unlock()
 	s.logChange(change, vm)
 	return nil
@@ -111,8 +111,9 @@
 	return directoryReply{Now: s.Clock.Now(), Data: data}, err
 }
 
-// fetchDirectory fetches and applies the directory of another node.
-func (s *Service) fetchDirectory(ctx context.Context, vm string) error {
+// fetchDirectory fetches and applies the directory of another node, which has read it
+// from the store at readAt or later.
+func (s *Service) fetchDirectory(ctx context.Context, vm string, readAt time.Time) error {
 	ctx, cancel := context.WithTimeout(ctx, transferTimeout)
 	defer cancel()
 	var reply directoryReply
@@ -123,6 +124,6 @@
 	if err := wire.Decompress(reply.Data, &d); err != nil {
 		return fault.New(fault.Internal, fault.NotRun, "directory of %s: %s", vm, err)
 	}
-	s.apply(vm, update{Directory: &d, Now: reply.Now}, time.Time{})
+	s.apply(vm, update{Directory: &d, Now: reply.Now}, readAt)
 	return nil
 }
--- a/news/version_test.go
+++ b/news/version_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"io"
 	"testing"
-	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/google/go-cmp/cmp"
@@ -34,7 +33,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	s := &Service{Self: "a", Clock: ports.SystemClock{}, Log: logrus.NewEntry(log), Metrics: metrics.NewSet(), Peers: earlierVersion(c.Response)}
-	s.state.Apply(time.Now(), Snapshot{Config: site.NewConfig(site.Config{Revision: 3})})
+	s.state.Apply(Snapshot{Config: site.NewConfig(site.Config{Revision: 3})})
 	var request revisions
 	if err := json.Unmarshal(c.Request, &request); err != nil {
 		t.Fatal(err)
