relay, poison: know a request that crashes targets wherever its route leads

Cause: the fingerprint of the content covered the service of the request, so that all that was known of it was lost with the move. Ruled out: evidence that does not reach the other nodes (all of them rejected the request before the move) and clearances (none was logged).

The class: an identity that covers what the configuration decides. The fingerprint covers account, method, URI and body now. The account is looked up by the key on public routes, too, else a route that is made public would make the request unknown. Parts of prompts never depended on the service.

Paths: moved, moved there and back, split, split later, made public, moved while a node starts. TestRequestThatCrashesTargetsOnAnotherRoute, on the code before: these six cases failed (3 to 6 late crashes, at most 1 allowed); pass now. Two cases passed before and must: one service of a split route crashes, and a move to a service that completes the request.

Gauge news_configuration_revision is new; the test waits for it.

--- a/news/log.go
+++ b/news/log.go
@@ -9,9 +9,11 @@
 	"github.com/sirupsen/logrus"
 )
 
-// registerGauges registers the ages of both parts of the state.
+// registerGauges registers the ages of both parts of the state and the revision of
+// the configuration, zero if there is none.
 func (s *Service) registerGauges() {
 	s.Metrics.GetOrCreateGauge("news_directory_age_seconds", func() float64 { return s.TimeSinceStoreRead().Seconds() })
+	s.Metrics.GetOrCreateGauge("news_configuration_revision", func() float64 { return float64(s.Config().Revision) })
 	s.Metrics.GetOrCreateGauge("news_operator_state_age_seconds", func() float64 { return s.OperatorStateAge().Seconds() })
 }
 
--- a/poison/evidence.go
+++ b/poison/evidence.go
@@ -2,6 +2,17 @@
 
 import "time"
 
+// The values of [Loss.Content] of fingerprints that are not those of a part of a
+// prompt but of the whole content.
+const (
+	// ContentAtService is that of the fingerprint of a content at one service.
+	ContentAtService uint32 = 0
+	// ContentAnywhere is that of the fingerprint of a content at all services.
+	ContentAnywhere uint32 = 1
+	// MinContent is the least hash of a content in a loss of a part.
+	MinContent uint32 = 2
+)
+
 // Evidence is what nodes tell each other about a fingerprint that requests share:
 // a [Loss], a [Clearance] or a [Quarantine].
 type Evidence interface{ evidence() }
@@ -11,12 +22,16 @@
 type Loss struct {
 	Fingerprint uint64
 	Target      uint32 // Hash of the target's incarnation. Losses of one target count once.
-	// Content is a hash of the content of the request. Losses of requests with the
-	// same content count once. It is zero if the fingerprint is that of the content.
+	// Content is a hash of the content of the request, at least MinContent. Losses of
+	// requests with the same content count once. It is ContentAtService or
+	// ContentAnywhere if the fingerprint is that of the content.
 	Content uint32
 	At      time.Time
 }
 
+// ofPart reports whether the fingerprint is that of a part of a prompt.
+func (l Loss) ofPart() bool { return l.Content >= MinContent }
+
 // Clearance says that a target has completed a request with the fingerprint, so
 // that the fingerprint did not cause the losses before At.
 type Clearance struct {
--- a/poison/probe.go
+++ b/poison/probe.go
@@ -71,7 +71,7 @@
 
 // addRecent keeps a loss to find out later which targets were lost together.
 func (t *Tracker) addRecent(l Loss) {
-	if l.Content == 0 || slices.ContainsFunc(t.recent, func(o Loss) bool { return o.Target == l.Target }) {
+	if !l.ofPart() || slices.ContainsFunc(t.recent, func(o Loss) bool { return o.Target == l.Target }) {
 		return
 	}
 	if len(t.recent) == maxRecentLosses {
--- a/poison/suspect.go
+++ b/poison/suspect.go
@@ -43,7 +43,7 @@
 
 // repeats reports whether another loss has the same target or the same content.
 func (l Loss) repeats(other Loss) bool {
-	return l.Target == other.Target || l.Content != 0 && l.Content == other.Content
+	return l.Target == other.Target || l.ofPart() && l.Content == other.Content
 }
 
 // independent returns the number of losses of which no two are within the gap. The
@@ -52,7 +52,7 @@
 	n := 0
 	var last time.Time
 	for _, l := range s.losses {
-		if n > 0 && l.Content != 0 && l.At.Sub(last) < gap {
+		if n > 0 && l.ofPart() && l.At.Sub(last) < gap {
 			continue
 		}
 		n++
@@ -70,7 +70,7 @@
 		if !slices.ContainsFunc(s.losses, func(own Loss) bool { return own.Target == l.Target }) {
 			return false
 		}
-		together = together || l.Content != 0 && slices.ContainsFunc(s.losses, func(own Loss) bool { return own.Content == l.Content })
+		together = together || l.ofPart() && slices.ContainsFunc(s.losses, func(own Loss) bool { return own.Content == l.Content })
 	}
 	return together
 }
--- a/poison/tracker.go
+++ b/poison/tracker.go
@@ -59,8 +59,8 @@
 func (t *Tracker) LossCount(now time.Time) int {
 	n := 0
 	for _, s := range t.suspects {
-		// The losses of one fingerprint are all of a content, or none is.
-		if s.holds(now) && len(s.losses) > 0 && s.losses[0].Content == 0 {
+		// The losses of one fingerprint are all of a content at a service, or none is.
+		if s.holds(now) && len(s.losses) > 0 && s.losses[0].Content == ContentAtService {
 			n += len(s.losses)
 		}
 	}
--- a/relay/crash.go
+++ b/relay/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -36,15 +37,18 @@
 	if admitted || !s.hasLosses() {
 		return nil
 	}
-	fingerprints := x.fingerprints()
+	fingerprints, now := x.fingerprints(), s.Clock.Now()
 	s.mutex.Lock()
-	v := s.losses.Check(s.Clock.Now(), fingerprints, s.probes)
+	v := s.losses.Check(now, fingerprints, s.probes)
+	if v.Standing != poison.Quarantined {
+		v = s.losses.Check(now, []uint64{x.serviceFingerprint()}, s.probes)
+	}
 	s.mutex.Unlock()
 	s.announce(v.Announce)
 	if v.Standing != poison.Quarantined {
 		return nil
 	}
-	fields := logrus.Fields{"request": x.id, "fingerprint": v.Fingerprint, "content": v.Fingerprint == fingerprints[0], "probe": v.Probe, "prompt_parts": x.loggedPromptParts()}
+	fields := logrus.Fields{"request": x.id, "fingerprint": v.Fingerprint, "content": !slices.Contains(fingerprints[1:], v.Fingerprint), "probe": v.Probe, "prompt_parts": x.loggedPromptParts()}
 	s.Log.WithFields(fields).Info("request is quarantined")
 	s.Metrics.GetOrCreateCounter(fmt.Sprintf("relay_quarantined_requests_total{probe=\"%t\"}", v.Probe)).Inc()
 	if v.Probe {
@@ -70,15 +74,19 @@
 func (x *exchange) recordLoss(t site.Target) {
 	s := x.server
 	now, fingerprints := s.Clock.Now(), x.fingerprints()
-	content := max(1, uint32(fingerprints[0]))
+	content := max(poison.MinContent, uint32(fingerprints[0]))
 	incarnation := incarnationHash(t, now)
+	crash := hash32(fmt.Sprintf("%s/%d", t.ID, now.UnixNano()/int64(crashWindow)))
+	losses := []poison.Loss{
+		{Fingerprint: x.serviceFingerprint(), Target: crash, Content: poison.ContentAtService, At: now},
+		{Fingerprint: fingerprints[0], Target: crash, Content: poison.ContentAnywhere, At: now},
+	}
+	for _, f := range fingerprints[1:] {
+		losses = append(losses, poison.Loss{Fingerprint: f, Target: incarnation, Content: content, At: now})
+	}
 	var announced []poison.Evidence
 	s.mutex.Lock()
-	for i, f := range fingerprints {
-		l := poison.Loss{Fingerprint: f, Target: incarnation, Content: content, At: now}
-		if i == 0 {
-			l.Target, l.Content = hash32(fmt.Sprintf("%s/%d", t.ID, now.UnixNano()/int64(crashWindow))), 0
-		}
+	for _, l := range losses {
 		announced = append(announced, s.losses.RecordLoss(now, l)...)
 	}
 	s.losses.RecordProbeLoss(now, x.probe)
--- a/relay/fingerprint.go
+++ b/relay/fingerprint.go
@@ -18,17 +18,36 @@
 	restartWindow = 2 * time.Second
 )
 
-// contentFingerprint returns a hash of the service, the account and the content of
-// the request, but not of its identifier.
-func (x *exchange) contentFingerprint() uint64 {
+// contentFingerprint returns a hash of the client account and the content of the
+// request, but not of its identifier, nor of the route and the service, which may
+// change while the request comes again and again.
+func (x *exchange) contentFingerprint() uint64 { return x.hashContent(x.caller()) }
+
+// hashContent returns a hash of the content of the request and of what qualifies it.
+func (x *exchange) hashContent(qualifiers ...string) uint64 {
 	d := xxhash.New()
-	for _, part := range []string{x.service, x.account.Name, x.request.Method, x.request.URI} {
+	for _, part := range append(qualifiers, x.request.Method, x.request.URI) {
 		_, _ = d.WriteString(part + "\n") // Writing to a digest never fails.
 	}
 	_, _ = d.Write(x.request.Body)
 	return d.Sum64()
 }
 
+// caller returns the name of the client account whose API key the request has. A
+// request on a public route may have one, too.
+func (x *exchange) caller() string {
+	if x.account.Name != "" {
+		return x.account.Name
+	}
+	a, _ := x.config.Account(x.request.Headers.Get(x.server.Names.AccountKey))
+	return a.Name
+}
+
+// serviceFingerprint returns the fingerprint of the content at the service of the
+// request. It tells services at which a content is lost from others that complete it.
+// Nodes of earlier versions know a content by this fingerprint only.
+func (x *exchange) serviceFingerprint() uint64 { return x.hashContent(x.service, x.account.Name) }
+
 // fingerprints returns the fingerprint of the content of the request, followed by
 // those of the parts of its prompt that other requests may share. They are computed
 // on first use.
@@ -83,9 +102,9 @@
 	succeeded := x.status < 300
 	switch losses := x.server.hasLosses(); {
 	case losses && succeeded:
-		return x.fingerprints()
+		return append([]uint64{x.serviceFingerprint()}, x.fingerprints()...)
 	case losses:
-		return x.fingerprints()[:1]
+		return []uint64{x.serviceFingerprint(), x.fingerprints()[0]}
 	case succeeded:
 		return x.partFingerprints()
 	}
