wire, relay, platform: bound the bodies of all targets' responses together

What another operator saw: a faulty target sent bytes without end, the VM that had called it kept them all and ran out of memory, and the requests of other clients ended with it.

Here: heads were bounded (4 KiB), and bodies each, not together: those of calls for pieces, releases and capacity queries by 4 MiB. Releases are sent at once for each request that ends. 150 calls at once held 122 to 291 MB of live objects; the smallest machine has 184 MB. Responses to requests share 32 MiB, of which a few endless ones left nothing to others, and held 68 to 113 MB with the copies that are made while they grow.

Change: the budget and its buffers move from relay to wire, where the JSON calls of a client use the same. Responses of the store have no share in the budget, so that targets can't keep it from being read.

--- a/relay/events.go
+++ b/relay/events.go
@@ -6,6 +6,8 @@
 	"io"
 	"strconv"
 	"strings"
+
+	"bergamotworks/wire"
 )
 
 // errStreamEnd means that a stream ended after a complete event.
@@ -18,20 +20,20 @@
 // eventReader reads complete server-sent events from a stream.
 type eventReader struct {
 	source  io.Reader
-	pending buffer
+	pending wire.Buffer
 }
 
 // next returns the complete events that have arrived, maybe none. The error is
 // errStreamEnd at the end of a stream, [io.ErrUnexpectedEOF] if the last event
 // is incomplete, or of kind [fault.TooLarge] if an event is too long.
 func (r *eventReader) next() ([]byte, error) {
-	err := r.pending.readFrom(r.source)
-	data := r.pending.data
+	err := r.pending.ReadOnce(r.source)
+	data := r.pending.Data
 	end := completeEventsLen(data)
 	events := bytes.Clone(data[:end])
-	r.pending.data = data[:copy(data, data[end:])]
+	r.pending.Data = data[:copy(data, data[end:])]
 	if errors.Is(err, io.EOF) {
-		if len(r.pending.data) > 0 {
+		if len(r.pending.Data) > 0 {
 			return events, io.ErrUnexpectedEOF
 		}
 		return events, errStreamEnd
--- a/relay/events_test.go
+++ b/relay/events_test.go
@@ -10,6 +10,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"bergamotworks/script"
+	"bergamotworks/wire"
 )
 
 // eventCase is a target's stream and what is forwarded of it.
@@ -40,7 +41,7 @@
 }
 
 func readEvents(source io.Reader, last int64) (string, int64, error) {
-	r := eventReader{source: source, pending: buffer{budget: &byteBudget{}, limit: maxEventBytes}}
+	r := eventReader{source: source, pending: wire.Buffer{Budget: &wire.BufferBudget{}, Limit: maxEventBytes}}
 	var forwarded strings.Builder
 	for {
 		events, err := r.next()
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -15,6 +15,12 @@
 	"bergamotworks/wire"
 )
 
+// The size limits of what is held of a response, in bytes.
+const (
+	maxBufferedBytes = 8 << 20 // Of a response that is forwarded as a whole.
+	maxEventBytes    = 1 << 20 // Of an event.
+)
+
 // forward forwards a response to the client.
 func (x *exchange) forward(ctx context.Context, resp *wire.Response) error {
 	if x.headerSent && !x.continues(resp) {
@@ -35,16 +41,16 @@
 // forwardBuffered reads a response completely before it sends any of it, so
 // that an interrupted response can still be replaced by a retry.
 func (x *exchange) forwardBuffered(resp *wire.Response) error {
-	b := buffer{budget: &x.server.buffers, limit: maxBufferedBytes}
-	defer b.release()
-	if err := b.readAll(resp.Body); err != nil {
+	b := wire.Buffer{Budget: &x.server.Client.Buffers, Limit: maxBufferedBytes}
+	defer b.Release()
+	if err := b.ReadAll(resp.Body); err != nil {
 		return x.unreadable("answer", err)
 	}
 	x.firstByte = x.server.Clock.Now().Sub(x.arrived)
 	x.client.setWriteTimeout(x.timeLeft())
 	x.headerSent = true
-	x.writeHeader(resp, wire.Header{Name: "Content-Length", Value: strconv.Itoa(len(b.data))})
-	_, _ = x.client.writer.Write(b.data) // Flush reports the error.
+	x.writeHeader(resp, wire.Header{Name: "Content-Length", Value: strconv.Itoa(len(b.Data))})
+	_, _ = x.client.writer.Write(b.Data) // Flush reports the error.
 	if err := x.flush(); err != nil {
 		return err
 	}
@@ -103,8 +109,8 @@
 // at a time. A stream without a length that ends before its first event has broken
 // off.
 func (x *exchange) forwardEvents(ctx context.Context, resp *wire.Response) error {
-	r := eventReader{source: resp.Body, pending: buffer{budget: &x.server.buffers, limit: maxEventBytes}}
-	defer r.pending.release()
+	r := eventReader{source: resp.Body, pending: wire.Buffer{Budget: &x.server.Client.Buffers, Limit: maxEventBytes}}
+	defer r.pending.Release()
 	received := false
 	for {
 		events, err := r.next()
--- a/relay/server.go
+++ b/relay/server.go
@@ -94,7 +94,6 @@
 	draining       atomic.Bool
 	running        sync.WaitGroup
 	counters       counters
-	buffers        byteBudget
 }
 
 func (s *Server) init() {
@@ -107,7 +106,7 @@
 	if s.Guard != nil {
 		s.Guard.registerHolds()
 	}
-	s.Metrics.NewGauge("relay_buffered_bytes", func() float64 { return float64(s.buffers.used.Load()) })
+	s.Metrics.NewGauge("relay_buffered_bytes", func() float64 { return float64(s.Client.Buffers.Used()) })
 	s.Metrics.NewGauge("relay_targets_lost_with_requests", s.lossCount)
 	s.Metrics.NewGauge("relay_quarantined_fingerprints", s.quarantineCount)
 }
--- a/relay/buffer_test.go
+++ b/wire/buffer_test.go
@@ -1,4 +1,4 @@
-package relay
+package wire
 
 import (
 	"errors"
@@ -28,15 +28,15 @@
 
 func TestEndlessBodiesStayWithinTheBudget(t *testing.T) {
 	script.Run(t, "testdata/buffers/*.json", func(t *testing.T, c bufferCase) {
-		budget := &byteBudget{limit: c.Budget}
-		var buffers []*buffer
+		budget := &BufferBudget{Limit: c.Budget}
+		var buffers []*Buffer
 		for _, want := range [][]int{c.Want, c.Released} {
 			var got []int
 			for range want {
-				b := &buffer{budget: budget, limit: c.Limit}
+				b := &Buffer{Budget: budget, Limit: c.Limit}
 				buffers = append(buffers, b)
 				source := &endless{}
-				if err := b.readAll(source); !isTooLarge(err) {
+				if err := b.ReadAll(source); !isTooLarge(err) {
 					t.Errorf("error %v, want one of kind too large", err)
 				}
 				got = append(got, source.read)
@@ -45,11 +45,11 @@
 				t.Errorf("bytes read (-want +got):\n%s", diff)
 			}
 			for _, b := range buffers {
-				b.release()
+				b.Release()
 			}
 			buffers = nil
 		}
-		if diff := cmp.Diff(int64(0), budget.used.Load()); diff != "" {
+		if diff := cmp.Diff(int64(0), budget.Used()); diff != "" {
 			t.Errorf("bytes in use in the end (-want +got):\n%s", diff)
 		}
 	})
--- a/wire/client.go
+++ b/wire/client.go
@@ -42,6 +42,8 @@
 	OnDial func()
 	// Guard is asked about the calls to targets; may be nil.
 	Guard Guard
+	// Buffers limits the memory of the bodies of responses of targets together.
+	Buffers BufferBudget
 
 	idle IdleConns
 }
@@ -59,6 +61,8 @@
 	// NewConnection prevents the reuse of an idle connection, whose failure could
 	// leave the outcome of the call unknown.
 	NewConnection bool
+	// MaxBodyBytes bounds the body of the response in [Client.DoJSON]; zero means 4 MiB.
+	MaxBodyBytes int
 	// HeaderTimeout bounds the time until the header of the response is complete;
 	// zero means that only the context does.
 	HeaderTimeout time.Duration
--- a/wire/json.go
+++ b/wire/json.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"net/http"
@@ -8,7 +9,7 @@
 	"bergamotworks/fault"
 )
 
-// maxJSONBytes bounds the body of a response in [Client.DoJSON].
+// maxJSONBytes is the default of [Call.MaxBodyBytes].
 const maxJSONBytes = 4 << 20
 
 // Checker is a result that can find out that a response belongs to another call. It
@@ -19,7 +20,7 @@
 }
 
 // DoJSON sends a call and decodes the JSON body of the response, if it has one,
-// into result, which must be a pointer. If body is not nil, it is encoded as JSON
+// into result, which must be a pointer. If request is not nil, it is encoded as JSON
 // and sent with a Content-Type. DoJSON sets the Host field to the address.
 //
 // If result is a [Checker], any error may mean that the response belongs to an earlier
@@ -28,10 +29,10 @@
 // If the status of the response is not 200, DoJSON returns the error that
 // statusError returns for it; the body has been read by then and is not available.
 // Any other error is a *fault.Error.
-func (c *Client) DoJSON(ctx context.Context, call Call, body, result any, statusError func(*Response) error) error {
+func (c *Client) DoJSON(ctx context.Context, call Call, request, result any, statusError func(*Response) error) error {
 	call.Headers = append(call.Headers, Header{Name: "Host", Value: call.Address})
-	if body != nil {
-		data, err := json.Marshal(body)
+	if request != nil {
+		data, err := json.Marshal(request)
 		if err != nil {
 			return fault.New(fault.Internal, fault.NotRun, "encode %s: %s", call.URI, err)
 		}
@@ -43,14 +44,15 @@
 		return err
 	}
 	defer response.Close()
-	data, err := response.ReadAll(maxJSONBytes)
-	if err != nil {
+	body := Buffer{Budget: c.budget(call), Limit: cmp.Or(call.MaxBodyBytes, maxJSONBytes)}
+	defer body.Release()
+	if err := body.ReadAll(response.Body); err != nil {
 		return fault.New(fault.ConnectionLost, fault.MayHaveRun, "answer to %s: %s", call.URI, err)
 	}
 	if response.Status != http.StatusOK {
 		err = statusError(response)
 	} else {
-		err = decodeJSON(call.URI, data, result)
+		err = decodeJSON(call.URI, body.Data, result)
 	}
 	if _, checked := result.(Checker); checked && err != nil {
 		response.abandonReused()
@@ -58,6 +60,15 @@
 	return err
 }
 
+// budget returns the budget for the body of the response to a call. Targets may be
+// faulty; what they send must not keep the response of another peer from being read.
+func (c *Client) budget(call Call) *BufferBudget {
+	if call.Target.ID == "" {
+		return &BufferBudget{}
+	}
+	return &c.Buffers
+}
+
 // decodeJSON decodes the body of a response to uri, if there is one, and checks the
 // result if it is a [Checker].
 func decodeJSON(uri string, data []byte, result any) error {
