engine: bound the responses of all targets together

Bodies are read into buffers of one budget for all calls of a client now. Streams count what they have read, which is kept as text, against it.

--- a/engine/client.go
+++ b/engine/client.go
@@ -41,8 +41,9 @@
 	IdleTimeout      time.Duration // Idle connections are closed after it; zero means 30 s.
 	MaxResponseBytes int           // Zero means 8 MiB.
 
-	idle   wire.IdleConns
-	counts counters
+	idle    wire.IdleConns
+	buffers wire.BufferBudget // Limits the memory of the responses of all calls together.
+	counts  counters
 }
 
 // Do sends the call and returns the complete response. For a model engine,
--- a/engine/json.go
+++ b/engine/json.go
@@ -6,6 +6,7 @@
 	"github.com/valyala/fasthttp"
 
 	"bergamotworks/fault"
+	"bergamotworks/wire"
 )
 
 // callResponse is the body of a response that is not a stream.
@@ -22,11 +23,13 @@
 		return Response{}, mayHaveRun(Corrupt, fault.TargetFailed, "the answer states no length")
 	}
 	a.setDeadline(a.client.progressTimeout())
-	if err := response.ReadBody(a.conn.Reader, a.client.maxResponseBytes()); err != nil {
+	text, err := a.readBody(response)
+	defer text.Release()
+	if err != nil {
 		return Response{}, a.connectionFailure(err)
 	}
 	var body callResponse
-	if err := json.Unmarshal(response.Body(), &body); err != nil {
+	if err := json.Unmarshal(text.Data, &body); err != nil {
 		return Response{}, mayHaveRun(Corrupt, fault.TargetFailed, "answer of %s: %s", a.call.Target, err)
 	}
 	if body.ID != a.call.Attempt {
@@ -37,3 +40,18 @@
 	}
 	return Response{Output: body.Output, FirstToken: firstByte}, nil
 }
+
+// readBody reads the body of a response, with memory that all calls share. The buffer
+// must be released, also after an error.
+func (a *attempt) readBody(response *fasthttp.Response) (*wire.Buffer, error) {
+	body := &wire.Buffer{Budget: &a.client.buffers, Limit: a.client.maxResponseBytes()}
+	response.StreamBody = true
+	if err := response.ReadBody(a.conn.Reader, 0); err != nil {
+		return body, err
+	}
+	source := response.BodyStream()
+	if source == nil { // A response without a body.
+		return body, nil
+	}
+	return body, body.ReadAll(source)
+}
--- a/engine/report.go
+++ b/engine/report.go
@@ -94,11 +94,16 @@
 	if err := a.write(request); err != nil {
 		return a.connectionFailure(err)
 	}
-	if err := response.ReadLimitBody(a.conn.Reader, a.client.maxResponseBytes()); err != nil {
+	if err := response.Header.Read(a.conn.Reader); err != nil {
+		return a.connectionFailure(err)
+	}
+	body, err := a.readBody(response)
+	defer body.Release()
+	if err != nil {
 		return a.connectionFailure(err)
 	}
 	a.connectionClose = response.ConnectionClose()
-	return a.decode(response, result)
+	return a.decode(response.StatusCode(), body.Data, result)
 }
 
 func (q query) fill(request *fasthttp.Request) {
@@ -114,15 +119,15 @@
 	request.SetBodyRaw(q.body)
 }
 
-// decode decodes the response to a query into result, unless that is nil.
-func (a *attempt) decode(response *fasthttp.Response, result any) *Failure {
-	if status := response.StatusCode(); status != fasthttp.StatusOK {
+// decode decodes the body of the response to a query into result, unless that is nil.
+func (a *attempt) decode(status int, body []byte, result any) *Failure {
+	if status != fasthttp.StatusOK {
 		return a.statusFailure(status)
 	}
 	if result == nil {
 		return nil
 	}
-	if err := json.Unmarshal(response.Body(), result); err != nil {
+	if err := json.Unmarshal(body, result); err != nil {
 		return mayHaveRun(Corrupt, fault.TargetFailed, "answer of %s: %s", a.call.Target, err)
 	}
 	return nil
--- a/engine/stream.go
+++ b/engine/stream.go
@@ -29,7 +29,8 @@
 	}
 	s := completion{attempt: a, onChunk: onChunk, position: a.call.ResumeTokens}
 	s.text.WriteString(a.call.Resume)
-	body := &boundedReader{source: response.BodyStream(), remaining: a.client.maxResponseBytes()}
+	body := &boundedReader{source: response.BodyStream(), remaining: a.client.maxResponseBytes(), budget: &a.client.buffers}
+	defer body.release()
 	failure := s.readEvents(bufio.NewReaderSize(body, wire.ConnBufferBytes))
 	if failure == nil {
 		failure = s.checkComplete()
@@ -44,10 +45,13 @@
 // errTooLong is returned for a stream that exceeds the size of a response.
 var errTooLong = errors.New("the stream is too long")
 
-// boundedReader fails with errTooLong after a number of bytes.
+// boundedReader fails with errTooLong after a number of bytes, or when the budget has
+// no room for as many, since what is read is kept. Release returns the memory.
 type boundedReader struct {
 	source    io.Reader
 	remaining int
+	budget    *wire.BufferBudget
+	taken     int // From the budget.
 }
 
 func (r *boundedReader) Read(p []byte) (int, error) {
@@ -56,9 +60,15 @@
 	}
 	n, err := r.source.Read(p[:min(len(p), r.remaining)])
 	r.remaining -= n
+	if !r.budget.Take(n, r.taken+n) {
+		return 0, errTooLong
+	}
+	r.taken += n
 	return n, err
 }
 
+func (r *boundedReader) release() { r.budget.Return(r.taken) }
+
 // completion collects the text of one streamed response, which starts with the
 // resumed text of the call.
 type completion struct {
