cmds, deploy: collect garbage by the memory of the VM

The soft limit of the heap was 200 MB on every VM; the smallest machine has 184 MB, so that it never took effect there before the process was ended. The setting memory-mb tells the memory of the VM, and the limit is 0.6 of it. Without the setting it stays at 200 MB.

--- a/cmds/relay.go
+++ b/cmds/relay.go
@@ -27,6 +27,7 @@
 	seeds        string
 	storeAddress string
 	settingsFile string // Path of the settings file; may be empty.
+	memoryMB     float64
 }
 
 const (
@@ -46,6 +47,7 @@
 	flags.StringVar(&n.Region, "region", "default", "region of this VM")
 	flags.Float64Var(&n.CPUShare, "cpu-share", 0, "share of a core that this VM has; zero if unknown")
 	flags.Float64Var(&n.CPUSpeed, "cpu-speed", 1, "speed of that core as a multiple of a reference core; zero if unknown")
+	flags.Float64Var(&v.memoryMB, "memory-mb", 0, "memory of this VM in megabytes; zero if unknown")
 	flags.StringVar(&n.Listen, "listen", "127.0.0.1:8080", "client address, IP:port")
 	flags.StringVar(&n.ReadyListen, "ready-listen", "127.0.0.1:8081", "address for readiness checks of the balancer, IP:port")
 	flags.StringVar(&n.MetricsListen, "metrics-listen", "", "metrics address, IP:port; empty for none")
@@ -68,6 +70,9 @@
 		fe := fault.From(err)
 		return usageErrorf(fe.Field, "%s", fe.Message)
 	}
+	if v.memoryMB < 0 {
+		return usageErrorf("memory-mb", "%g is negative", v.memoryMB)
+	}
 	if _, err := netip.ParseAddrPort(v.storeAddress); err != nil {
 		return usageErrorf("store", "%q is not IP:port", v.storeAddress)
 	}
@@ -101,7 +106,7 @@
 			writer := &logs.Writer{Out: a.stdout, Clock: ports.SystemClock{}, Metrics: set}
 			writer.Start()
 			log.SetOutput(writer)
-			tuneMemory()
+			tuneMemory(v.memoryMB)
 			return errors.Join(relay(ctx, v, a.relayArguments(), log, set), writer.Close())
 		},
 	})
@@ -178,6 +183,7 @@
 // apply applies reloaded settings.
 func (r *relayRun) apply(v relaySettings) {
 	r.seeds.SetConfigured(splitList(v.seeds))
+	tuneMemory(v.memoryMB)
 	r.node.Reload(v.node)
 }
 
--- a/cmds/serve.go
+++ b/cmds/serve.go
@@ -119,28 +119,42 @@
 			if err != nil {
 				return err
 			}
-			tuneMemory()
+			tuneMemory(0)
 			return serveNode(ctx, settings, addresses, log)
 		},
 	})
 }
 
 const (
-	gcPercent   = 400       // Growth of the heap between two collections, in per cent.
-	memoryLimit = 200 << 20 // Soft memory limit in bytes, near which collections run more often.
+	gcPercent          = 400       // Growth of the heap between two collections, in per cent.
+	defaultMemoryLimit = 200 << 20 // Soft memory limit in bytes if the memory of the VM is not known.
+	// memoryLimitShare is the share of the memory of the VM up to which the heap
+	// grows between two collections. The rest is for buffers of the kernel.
+	memoryLimitShare = 0.6
+	bytesPerMegabyte = 1_000_000
 )
 
 // tuneMemory makes garbage collections less frequent, since the heap of a node is
-// small. The variables GOGC and GOMEMLIMIT take precedence.
-func tuneMemory() {
+// small, unless that would take too much of the memory of the VM, which is given in
+// megabytes; zero if it is not known. The variables GOGC and GOMEMLIMIT take
+// precedence.
+func tuneMemory(memoryMB float64) {
 	if os.Getenv("GOGC") == "" {
 		debug.SetGCPercent(gcPercent)
 	}
 	if os.Getenv("GOMEMLIMIT") == "" {
-		debug.SetMemoryLimit(memoryLimit)
+		debug.SetMemoryLimit(softMemoryLimit(memoryMB))
 	}
 }
 
+// softMemoryLimit returns the limit in bytes near which collections run more often.
+func softMemoryLimit(memoryMB float64) int64 {
+	if memoryMB <= 0 {
+		return defaultMemoryLimit
+	}
+	return int64(memoryMB * bytesPerMegabyte * memoryLimitShare)
+}
+
 // serveNode runs a node until the context ends, then shuts it down gracefully.
 func serveNode(ctx context.Context, settings node.Settings, stores []string, log *logrus.Logger) error {
 	n := &node.Node{
