wire, platform: close a connection after results that name no call

Cause: a response to a call for pieces names no call. A repeated one is told by its handles; one in which no piece has a result has none, so that a repeat of it was taken for the response to the next call, and the connection went on with that call's own response still due: each later call on it got the results of the one before.

A result is asked whether it identifies its call now. If not, a connection that has carried earlier calls is closed after it; the first response of a connection is that of its call. The reasons in such a response are believed as before: pieces without a result run again.

Other calls without a name: releases and capacity queries. After a shift by one of them, a call for pieces gets a body without its results, fails and closes the connection; no results can be taken for those of others.

--- a/wire/checked_test.go
+++ b/wire/checked_test.go
@@ -26,12 +26,15 @@
 
 // checkedResult is the result of a call, which repeats the number of the call.
 type checkedResult struct {
-	Number int `json:"number"`
-	want   int
+	Number  int  `json:"number"`
+	Unnamed bool `json:"unnamed"` // The result does not name its call.
+	want    int
 }
 
+func (r *checkedResult) Identified() bool { return !r.Unnamed }
+
 func (r *checkedResult) Check() error {
-	if r.Number != r.want {
+	if !r.Unnamed && r.Number != r.want {
 		return errors.New("the result of another call")
 	}
 	return nil
--- a/wire/json.go
+++ b/wire/json.go
@@ -17,14 +17,18 @@
 type Checker interface {
 	// Check returns an error if the result cannot be that of this call.
 	Check() error
+	// Identified reports whether a result that Check has accepted can only be that of
+	// this call.
+	Identified() bool
 }
 
 // DoJSON sends a call and decodes the JSON body of the response, if it has one,
 // into result, which must be a pointer. If request is not nil, it is encoded as JSON
 // and sent with a Content-Type. DoJSON sets the Host field to the address.
 //
-// If result is a [Checker], any error may mean that the response belongs to an earlier
-// call, so that a connection that has carried one is closed.
+// If result is a [Checker], any error, and a result that it can't identify, may mean
+// that the response belongs to an earlier call, so that a connection that has carried
+// one is closed.
 //
 // If the status of the response is not 200, DoJSON returns the error that
 // statusError returns for it; the body has been read by then and is not available.
@@ -54,7 +58,7 @@
 	} else {
 		err = decodeJSON(call.URI, body.Bytes(), result)
 	}
-	if _, checked := result.(Checker); checked && err != nil {
+	if checker, ok := result.(Checker); ok && (err != nil || !checker.Identified()) {
 		response.abandonReused()
 	}
 	return err
