--- a/news/state.go
+++ b/news/state.go
@@ -107,16 +107,24 @@
 		s.registered = s.registered.WithRevision(sn.Unchanged.Revision)
 		c.Directory = true
 	}
-	if s.includes(sn) && sn.ReadAt.After(s.registeredAt) {
-		c.Directory = c.Directory || s.retains()
-		s.registeredAt = sn.ReadAt
-	}
+	c.Directory = s.confirmRegistered(sn) || c.Directory
 	if c.Directory {
 		s.rebuild(&c)
 	}
 	return c
 }
 
+// confirmRegistered records the read of the store in a snapshot that was just merged.
+// It reports whether that may end the grace period.
+func (s *State) confirmRegistered(sn Snapshot) bool {
+	if !s.includes(sn) || !sn.ReadAt.After(s.registeredAt) {
+		return false
+	}
+	retained := s.retains()
+	s.registeredAt = sn.ReadAt
+	return retained
+}
+
 // includes reports whether the registered directory is at least as new as that of
 // a snapshot that was just merged.
 func (s *State) includes(sn Snapshot) bool {
