poison, relay: one schedule of probes for the whole fleet

Cause: the time of the next probe was known to the owner alone. Its successor's own first probe was long due, and the owner began with 5 s again when it was back. The same for nodes that lose power in turn.

A node that lets a probe through announces it now, with the wait after it as if it were lost; nodes that start get it like other evidence. Every node waits at least as long, and its own waits grow from there. A completion clears it as before.

TestFleetFindsPartThatCrashesTargets has two new loads.

--- a/poison/evidence.go
+++ b/poison/evidence.go
@@ -14,7 +14,7 @@
 )
 
 // Evidence is what nodes tell each other about a fingerprint that requests share:
-// a [Loss], a [Clearance] or a [Quarantine].
+// a [Loss], a [Clearance], a [Quarantine] or a [Probe].
 type Evidence interface{ evidence() }
 
 // Loss says that the connection to a target was lost while it ran a request with
@@ -45,6 +45,19 @@
 	Until       time.Time
 }
 
+// Probe says that a request with a quarantined fingerprint was let through at a time,
+// and that the next one waits for at least Wait after it unless this one completes.
+type Probe struct {
+	Fingerprint uint64
+	At          time.Time
+	Wait        time.Duration
+}
+
+// Until returns the time until which the evidence counts: the quarantine may last for
+// LossLifetime after the wait, and waits do not become shorter in it.
+func (p Probe) Until() time.Time { return p.At.Add(p.Wait + LossLifetime) }
+
+func (Probe) evidence()      {}
 func (Loss) evidence()       {}
 func (Clearance) evidence()  {}
 func (Quarantine) evidence() {}
--- a/poison/fleet_test.go
+++ b/poison/fleet_test.go
@@ -48,6 +48,12 @@
 	// the evidence that has not expired from the others.
 	Restarts   []float64 `json:"restarts"`
 	MaxDelayMS int       `json:"max_delay_ms"` // Of evidence.
+	// RollFrom is the time in seconds at which the nodes begin to restart in turn,
+	// RollGap seconds apart, RollCount times in all. The next node has the quarantines
+	// meanwhile.
+	RollFrom  float64 `json:"roll_from"`
+	RollGap   float64 `json:"roll_gap"`
+	RollCount int     `json:"roll_count"`
 }
 
 func TestFleetFindsPartThatCrashesTargets(t *testing.T) {
@@ -71,6 +77,7 @@
 type fleet struct {
 	load    fleetLoad
 	random  *rand.Rand
+	delays  *rand.Rand // Of probes, whose number does not change other random choices.
 	start   time.Time
 	now     time.Time
 	events  eventQueue
@@ -124,7 +131,7 @@
 }
 
 func newFleet(load fleetLoad, seed uint64) *fleet {
-	f := &fleet{load: load, random: rand.New(rand.NewPCG(seed, 1)), start: time.Unix(1000, 0)}
+	f := &fleet{load: load, random: rand.New(rand.NewPCG(seed, 1)), delays: rand.New(rand.NewPCG(seed, 2)), start: time.Unix(1000, 0)}
 	f.now = f.start
 	for range load.Nodes {
 		f.nodes = append(f.nodes, &poison.Tracker{})
@@ -139,7 +146,10 @@
 		f.after(seconds(at), f.loseAll)
 	}
 	for _, at := range load.Restarts {
-		f.after(seconds(at), f.restart)
+		f.after(seconds(at), func() { f.restart(f.random.IntN(len(f.nodes))) })
+	}
+	for i := range load.RollCount {
+		f.after(seconds(load.RollFrom+float64(i)*load.RollGap), func() { f.restart(i % len(f.nodes)) })
 	}
 	return f
 }
@@ -215,7 +225,7 @@
 // whether it was sent.
 func (f *fleet) send(parts []uint64) bool {
 	r := &fleetRequest{node: f.random.IntN(len(f.nodes)), parts: parts, target: f.runningTarget(), sent: f.now}
-	home := r.node == 0
+	home := r.node == f.home()
 	v := f.nodes[r.node].Check(f.now, parts, func(uint64) bool { return home })
 	f.broadcast(r.node, v.Announce)
 	if v.Standing == poison.Quarantined && !v.Probe {
@@ -237,6 +247,20 @@
 	return true
 }
 
+// ownerDelay is the time after its restart in which a node is not known to others.
+const ownerDelay = time.Second
+
+// home returns the node that has the quarantines: the first one that has not just
+// restarted.
+func (f *fleet) home() int {
+	for i, at := range f.started {
+		if f.now.Sub(at) > ownerDelay {
+			return i
+		}
+	}
+	return 0
+}
+
 // runningTarget returns a random target that runs, or -1 if there is none.
 func (f *fleet) runningTarget() int {
 	for _, i := range f.random.Perm(len(f.targets)) {
@@ -309,18 +333,27 @@
 }
 
 func (f *fleet) deliver(node int, e poison.Evidence) {
-	delay := time.Duration(f.random.IntN(f.load.MaxDelayMS)) * time.Millisecond
+	random := f.random
+	if _, ok := e.(poison.Probe); ok {
+		random = f.delays
+	}
+	delay := time.Duration(random.IntN(f.load.MaxDelayMS)) * time.Millisecond
 	f.after(delay, func() { f.nodes[node].Observe(f.now, e) })
 }
 
-// evidenceLifetime is how long a broadcast reaches nodes that start.
+// evidenceLifetime is how long a broadcast of anything but a probe reaches nodes that
+// start.
 const evidenceLifetime = 2 * time.Minute
 
-func (f *fleet) restart() {
-	node := f.random.IntN(len(f.nodes))
+// restart makes a node lose what it knows. It gets the evidence that has not expired.
+func (f *fleet) restart(node int) {
 	f.nodes[node], f.started[node] = &poison.Tracker{}, f.now
 	for _, k := range f.known {
-		if f.now.Sub(k.at) < evidenceLifetime {
+		until := k.at.Add(evidenceLifetime)
+		if p, ok := k.evidence.(poison.Probe); ok {
+			until = p.Until()
+		}
+		if f.now.Before(until) {
 			f.deliver(node, k.evidence)
 		}
 	}
--- a/poison/probe.go
+++ b/poison/probe.go
@@ -23,14 +23,48 @@
 
 // startProbes schedules the first probe of a fingerprint that is quarantined now.
 func (t *Tracker) startProbes(now time.Time, fingerprint uint64, s *suspect) {
-	if !s.nextProbe.IsZero() || !t.quarantined(fingerprint, s) {
+	if !s.since.IsZero() || !t.quarantined(fingerprint, s) {
 		return
 	}
-	s.probeWait, s.probeFactor = probeAfter, probeWaitFactor
+	s.since, s.probeFactor = now, probeWaitFactor
+	wait := probeAfter
 	if t.completedAt(fingerprint, now) {
-		s.probeWait, s.probeFactor = soundProbeAfter, soundProbeWaitFactor
+		wait, s.probeFactor = soundProbeAfter, soundProbeWaitFactor
 	}
-	s.since, s.nextProbe = now, now.Add(s.probeWait)
+	s.waitForProbe(now, wait)
+}
+
+// waitForProbe makes the next probe wait after a time, unless it waits longer already.
+func (s *suspect) waitForProbe(from time.Time, wait time.Duration) {
+	s.probeWait = max(s.probeWait, wait)
+	if next := from.Add(wait); next.After(s.nextProbe) {
+		s.nextProbe = next
+	}
+}
+
+// probe returns the evidence for the other nodes that a request is let through as a
+// probe. Any of them may be the one that lets the next one through. They wait as if
+// this one were lost.
+func (t *Tracker) probe(now time.Time, fingerprint uint64) Probe {
+	s := t.suspects[fingerprint]
+	return Probe{Fingerprint: fingerprint, At: now, Wait: s.probeWait * time.Duration(s.probeFactor)}
+}
+
+// deferProbe applies the probe of another node and reports whether the next one waits
+// longer than before.
+func (t *Tracker) deferProbe(now time.Time, p Probe) bool {
+	if !now.Before(p.Until()) {
+		return false
+	}
+	s := t.suspect(now, p.Fingerprint)
+	if !p.At.After(s.clearedAt) || p.Wait <= s.probeWait && !p.At.Add(p.Wait).After(s.nextProbe) {
+		return false
+	}
+	s.waitForProbe(p.At, p.Wait)
+	if p.Until().After(s.until) {
+		s.until = p.Until()
+	}
+	return true
 }
 
 // takeProbe reports whether the request is let through as a probe.
--- a/poison/suspect.go
+++ b/poison/suspect.go
@@ -18,8 +18,8 @@
 	// announced is the end of the quarantine that other nodes know of.
 	announced time.Time
 	until     time.Time // The record expires at this time.
-	since     time.Time // Start of the quarantine, if nextProbe is not zero.
-	nextProbe time.Time // Zero while the fingerprint is not quarantined.
+	since     time.Time // Start of the quarantine; zero while there is none.
+	nextProbe time.Time // Earliest time of the next probe of any node, as far as it is known.
 	// probeWait is the wait before the next probe, which probeFactor multiplies after
 	// each probe that is lost.
 	probeWait   time.Duration
@@ -85,6 +85,6 @@
 	s.losses = slices.DeleteFunc(s.losses, func(l Loss) bool { return !l.At.After(at) })
 	s.clearedAt = at
 	s.imposed = false
-	s.announced, s.nextProbe = time.Time{}, time.Time{}
+	s.announced, s.since, s.nextProbe = time.Time{}, time.Time{}, time.Time{}
 	s.probeWait, s.probeLostAt = 0, time.Time{}
 }
--- a/poison/tracker.go
+++ b/poison/tracker.go
@@ -112,6 +112,8 @@
 		return t.clear(now, e)
 	case Quarantine:
 		return t.impose(now, e)
+	case Probe:
+		return t.deferProbe(now, e)
 	}
 	return false
 }
@@ -227,7 +229,10 @@
 		v.Standing, v.Fingerprint = Quarantined, f
 	}
 	// With two suspects in one request, its loss would say nothing of either.
-	v.Probe = v.Standing == Quarantined && suspected == 1 && t.takeProbe(now, v.Fingerprint, mayProbe)
+	if v.Standing == Quarantined && suspected == 1 && t.takeProbe(now, v.Fingerprint, mayProbe) {
+		v.Probe = true
+		v.Announce = append(v.Announce, t.probe(now, v.Fingerprint))
+	}
 	return v
 }
 
--- a/relay/evidence.go
+++ b/relay/evidence.go
@@ -25,6 +25,7 @@
 	lossKind       = "request_loss"
 	clearanceKind  = "request_sound"
 	quarantineKind = "request_quarantine"
+	probeKind      = "request_probe"
 )
 
 // The parts of the value of the announcement of a loss, from the lowest bit: the
@@ -34,6 +35,14 @@
 	lossTargetMask   = 1<<lossContentShift - 1
 )
 
+// probeWaitBits is the number of the lowest bits in the value of the announcement of a
+// probe that hold the wait in milliseconds. The others hold the Unix time of the probe
+// in milliseconds.
+const probeWaitBits = 22
+
+// maxProbeWait is the longest wait that can be announced, more than an hour.
+const maxProbeWait = (1<<probeWaitBits - 1) * time.Millisecond
+
 // EvidenceAnnouncement returns the announcement that broadcasts the evidence.
 func EvidenceAnnouncement(e poison.Evidence) member.Announcement {
 	switch e := e.(type) {
@@ -45,6 +54,10 @@
 		return member.Announcement{Kind: clearanceKind, Key: e.Fingerprint, Value: e.At.UnixMilli(), Until: e.At.Add(poison.LossLifetime)}
 	case poison.Quarantine:
 		return member.Announcement{Kind: quarantineKind, Key: e.Fingerprint, Value: e.Until.UnixMilli(), Until: e.Until}
+	case poison.Probe:
+		e.Wait = min(e.Wait, maxProbeWait)
+		value := e.At.UnixMilli()<<probeWaitBits | e.Wait.Milliseconds()
+		return member.Announcement{Kind: probeKind, Key: e.Fingerprint, Value: value, Until: e.Until()}
 	}
 	return member.Announcement{}
 }
@@ -63,19 +76,22 @@
 		return poison.Clearance{Fingerprint: a.Key, At: time.UnixMilli(a.Value)}, true
 	case quarantineKind:
 		return poison.Quarantine{Fingerprint: a.Key, Until: time.UnixMilli(a.Value)}, true
+	case probeKind:
+		wait := a.Value & (1<<probeWaitBits - 1)
+		return poison.Probe{Fingerprint: a.Key, At: time.UnixMilli(a.Value >> probeWaitBits), Wait: time.Duration(wait) * time.Millisecond}, true
 	}
 	return nil, false
 }
 
 // announce broadcasts evidence to the other nodes, within the share of this node of
-// the fleet's limit. A quarantine is always broadcast.
+// the fleet's limit. Quarantines and probes are always broadcast.
 func (s *Server) announce(list []poison.Evidence) {
 	if s.OnEvidence == nil {
 		return
 	}
 	now := s.Clock.Now()
 	for _, e := range list {
-		if _, ok := e.(poison.Quarantine); !ok && !s.allowEvidence(now) {
+		if limited(e) && !s.allowEvidence(now) {
 			s.Metrics.GetOrCreateCounter("relay_evidence_limited_total").Inc()
 			continue
 		}
@@ -83,6 +99,16 @@
 	}
 }
 
+// limited reports whether evidence is subject to the limit: there is a piece of it for
+// each target that is lost or completes a request.
+func limited(e poison.Evidence) bool {
+	switch e.(type) {
+	case poison.Loss, poison.Clearance:
+		return true
+	}
+	return false
+}
+
 // allowEvidence reports whether this node may announce one more piece of evidence.
 func (s *Server) allowEvidence(now time.Time) bool {
 	nodes := s.nodeCount()
@@ -109,5 +135,7 @@
 		s.Log.WithFields(logrus.Fields{"fingerprint": e.Fingerprint, "cleared_at": e.At}).Info("another node completed a request that shares a fingerprint with lost ones")
 	case poison.Quarantine:
 		s.Log.WithFields(logrus.Fields{"fingerprint": e.Fingerprint, "until": e.Until}).Info("another node quarantines requests")
+	case poison.Probe:
+		s.Log.WithFields(logrus.Fields{"fingerprint": e.Fingerprint, "probed_at": e.At, "wait_ms": e.Wait.Milliseconds()}).Info("another node probes a quarantined fingerprint")
 	}
 }
