poison: do not count the announcement of a node's own probe

A node hears its own announcements. It took its own probe for that of another node and waited as if it were lost, then lengthened the wait again when it was lost: 80 s instead of 20 s from the first lost probe to the second one, so that a sound part whose first probe was lost by chance was rejected for longer.

The fleet in virtual time lets nodes hear themselves now.

--- a/poison/fleet_test.go
+++ b/poison/fleet_test.go
@@ -54,6 +54,7 @@
 	RollFrom  float64 `json:"roll_from"`
 	RollGap   float64 `json:"roll_gap"`
 	RollCount int     `json:"roll_count"`
+	MinProbes int     `json:"min_probes"` // Least number of requests that are let through as probes.
 }
 
 func TestFleetFindsPartThatCrashesTargets(t *testing.T) {
@@ -88,6 +89,7 @@
 	late    []time.Time // Of these, sent by nodes that have run for the settling time.
 	started []time.Time // Time of the last restart of each node.
 	content uint64
+	probes  int // Requests that were let through as probes.
 	served  int // Sound requests with the first part of those that crash targets, sent in the judged time.
 	refused int // The same, rejected.
 }
@@ -236,6 +238,7 @@
 	}
 	t := &f.targets[r.target]
 	if v.Probe {
+		f.probes++
 		r.probe = v.Fingerprint
 	}
 	t.running = append(t.running, r)
@@ -324,6 +327,7 @@
 func (f *fleet) broadcast(from int, list []poison.Evidence) {
 	for _, e := range list {
 		f.known = append(f.known, sentEvidence{evidence: e, at: f.now})
+		f.nodes[from].Observe(f.now, e) // Nodes hear their own announcements, too.
 		for i := range f.nodes {
 			if i != from {
 				f.deliver(i, e)
@@ -370,6 +374,9 @@
 	if late > maxLateCrashes {
 		t.Errorf("seed %d: %d requests crashed targets in the end and %d of them were sent %s after the fifth, want at most %d", seed, len(f.crashes), late, settlingTime, maxLateCrashes)
 	}
+	if f.probes < f.load.MinProbes {
+		t.Errorf("seed %d: %d requests were let through as probes, want at least %d", seed, f.probes, f.load.MinProbes)
+	}
 	if all := f.served + f.refused; all >= 20 && float64(f.served) < minServedShare*float64(all) {
 		t.Errorf("seed %d: %d of %d sound requests with the same first part were rejected", seed, f.refused, all)
 	}
--- a/poison/probe.go
+++ b/poison/probe.go
@@ -47,17 +47,18 @@
 // this one were lost.
 func (t *Tracker) probe(now time.Time, fingerprint uint64) Probe {
 	s := t.suspects[fingerprint]
-	return Probe{Fingerprint: fingerprint, At: now, Wait: s.probeWait * time.Duration(s.probeFactor)}
+	s.probedAt = time.UnixMilli(now.UnixMilli()) // As precise as it is announced.
+	return Probe{Fingerprint: fingerprint, At: s.probedAt, Wait: s.probeWait * time.Duration(s.probeFactor)}
 }
 
 // deferProbe applies the probe of another node and reports whether the next one waits
-// longer than before.
+// longer than before. A node that hears of its own probe knows whether it was lost.
 func (t *Tracker) deferProbe(now time.Time, p Probe) bool {
 	if !now.Before(p.Until()) {
 		return false
 	}
 	s := t.suspect(now, p.Fingerprint)
-	if !p.At.After(s.clearedAt) || p.Wait <= s.probeWait && !p.At.Add(p.Wait).After(s.nextProbe) {
+	if p.At.Equal(s.probedAt) || !p.At.After(s.clearedAt) || p.Wait <= s.probeWait && !p.At.Add(p.Wait).After(s.nextProbe) {
 		return false
 	}
 	s.waitForProbe(p.At, p.Wait)
--- a/poison/suspect.go
+++ b/poison/suspect.go
@@ -24,7 +24,8 @@
 	// each probe that is lost.
 	probeWait   time.Duration
 	probeFactor int
-	probeLostAt time.Time // The last probe lost its target then.
+	probedAt    time.Time // Time of the last probe of this node.
+	probeLostAt time.Time // The last probe of this node lost its target then.
 }
 
 // addLoss adds a loss and reports whether it counts: it is newer than the last
