relay: hash the content for its service once, and not under the lock

While any target counts as lost, each request hashed its body for the fingerprint at its service again at each check, loss and completion, and at the check while it held the lock that all requests of the node share; a body may have megabytes. The fingerprint is computed once, before the lock.

--- a/relay/crash.go
+++ b/relay/crash.go
@@ -37,11 +37,11 @@
 	if admitted || !s.hasLosses() {
 		return nil
 	}
-	fingerprints, now := x.fingerprints(), s.Clock.Now()
+	fingerprints, atService, now := x.fingerprints(), x.serviceFingerprint(), s.Clock.Now()
 	s.mutex.Lock()
 	v := s.losses.Check(now, fingerprints, s.probes)
 	if v.Standing != poison.Quarantined {
-		v = s.losses.Check(now, []uint64{x.serviceFingerprint()}, s.probes)
+		v = s.losses.Check(now, []uint64{atService}, s.probes)
 	}
 	s.mutex.Unlock()
 	s.announce(v.Announce)
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -56,6 +56,7 @@
 	skipRetryCharge bool
 	inputsRemade    bool     // The stages have run again because a target found a result gone.
 	prints          []uint64 // Cached result of fingerprints; nil until it is computed.
+	servicePrint    uint64   // Cached result of serviceFingerprint; zero until it is computed.
 	probe           uint64   // Fingerprint that is quarantined and that the request probes; zero if none.
 	lastEventID     int64    // Identifier of the last event forwarded; noEventID before the first.
 
--- a/relay/fingerprint.go
+++ b/relay/fingerprint.go
@@ -45,8 +45,14 @@
 
 // serviceFingerprint returns the fingerprint of the content at the service of the
 // request. It tells services at which a content is lost from others that complete it.
-// Nodes of earlier versions know a content by this fingerprint only.
-func (x *exchange) serviceFingerprint() uint64 { return x.hashContent(x.service, x.account.Name) }
+// Nodes of earlier versions know a content by this fingerprint only. It is computed on
+// first use.
+func (x *exchange) serviceFingerprint() uint64 {
+	if x.servicePrint == 0 {
+		x.servicePrint = x.hashContent(x.service, x.account.Name)
+	}
+	return x.servicePrint
+}
 
 // fingerprints returns the fingerprint of the content of the request, followed by
 // those of the parts of its prompt that other requests may share. They are computed
