engine: keep long lines of a stream in reused segments

Long lines are kept in the segments that bodies use, and joined only when they are complete. TestLinesThatExceedTheBuffer shows that lines of all lengths around the buffer and the segments are read whole.

--- a/engine/stream.go
+++ b/engine/stream.go
@@ -31,7 +31,9 @@
 	s.text.WriteString(a.call.Resume)
 	body := &boundedReader{source: response.BodyStream(), remaining: a.client.maxResponseBytes(), budget: &a.client.buffers}
 	defer body.release()
-	failure := s.readEvents(bufio.NewReaderSize(body, wire.ConnBufferBytes))
+	lines := &lineReader{source: bufio.NewReaderSize(body, wire.ConnBufferBytes), long: wire.Body{Limit: a.client.maxResponseBytes()}}
+	defer lines.long.Release()
+	failure := s.readEvents(lines)
 	if failure == nil {
 		failure = s.checkComplete()
 	}
@@ -69,6 +71,36 @@
 
 func (r *boundedReader) release() { r.budget.Return(r.taken) }
 
+// lineReader reads lines. Those that exceed the buffer of the source are kept in reused
+// memory, and copied only once they are complete.
+type lineReader struct {
+	source *bufio.Reader
+	long   wire.Body // Its bytes are counted by the source.
+}
+
+// next returns the next line, which is valid until the following call. The last one
+// comes with [io.EOF]; with other errors there is no line.
+func (r *lineReader) next() ([]byte, error) {
+	line, err := r.source.ReadSlice('\n')
+	if !errors.Is(err, bufio.ErrBufferFull) {
+		return line, err
+	}
+	r.long.Release()
+	for errors.Is(err, bufio.ErrBufferFull) {
+		if _, err = r.long.Write(line); err != nil {
+			return nil, err
+		}
+		line, err = r.source.ReadSlice('\n')
+	}
+	if err != nil && !errors.Is(err, io.EOF) {
+		return nil, err
+	}
+	if _, err := r.long.Write(line); err != nil {
+		return nil, err
+	}
+	return r.long.Bytes(), err
+}
+
 // completion collects the text of one streamed response, which starts with the
 // resumed text of the call.
 type completion struct {
@@ -84,9 +116,9 @@
 }
 
 // readEvents reads the events up to the end of the body.
-func (c *completion) readEvents(lines *bufio.Reader) *Failure {
+func (c *completion) readEvents(lines *lineReader) *Failure {
 	for {
-		line, err := lines.ReadBytes('\n')
+		line, err := lines.next()
 		if err != nil && !errors.Is(err, io.EOF) {
 			return c.attempt.connectionFailure(err)
 		}
--- a/wire/buffer.go
+++ b/wire/buffer.go
@@ -31,8 +31,11 @@
 func (b *BufferBudget) Used() int64 { return b.used.Load() }
 
 // Take reports whether what is held of a response may grow by n bytes to a size, and
-// takes them.
+// takes them. A nil budget has no limit.
 func (b *BufferBudget) Take(n, size int) bool {
+	if b == nil {
+		return true
+	}
 	limit := b.Limit
 	if limit == 0 {
 		limit = defaultBudget
@@ -48,13 +51,17 @@
 }
 
 // Return returns bytes that were taken.
-func (b *BufferBudget) Return(n int) { b.used.Add(-int64(n)) }
+func (b *BufferBudget) Return(n int) {
+	if b != nil {
+		b.used.Add(-int64(n))
+	}
+}
 
 // Body holds the body of a response, up to a limit, with memory from a budget, which
 // Release returns. The exported fields are set before ReadAll.
 type Body struct {
-	Budget *BufferBudget
-	Limit  int // In bytes.
+	Budget *BufferBudget // May be nil if the bytes are counted elsewhere.
+	Limit  int           // In bytes.
 
 	segments [][]byte
 	size     int // Bytes held.
@@ -94,9 +101,7 @@
 			return err
 		}
 		n, err := source.Read(space)
-		last := len(b.segments) - 1
-		b.segments[last] = b.segments[last][:len(b.segments[last])+n]
-		b.size += n
+		b.extend(n)
 		if errors.Is(err, io.EOF) {
 			return nil
 		}
@@ -106,6 +111,28 @@
 	}
 }
 
+// Write implements [io.Writer]. Its error is of kind [fault.TooLarge].
+func (b *Body) Write(p []byte) (int, error) {
+	written := 0
+	for written < len(p) {
+		space, err := b.space()
+		if err != nil {
+			return written, err
+		}
+		n := copy(space, p[written:])
+		b.extend(n)
+		written += n
+	}
+	return written, nil
+}
+
+// extend counts n bytes that were put into the free part of the last segment.
+func (b *Body) extend(n int) {
+	last := len(b.segments) - 1
+	b.segments[last] = b.segments[last][:len(b.segments[last])+n]
+	b.size += n
+}
+
 // space returns the free part of the last segment, of a new one if that is full.
 func (b *Body) space() ([]byte, error) {
 	if b.size >= b.Limit {
