--- a/site/config.go
+++ b/site/config.go
@@ -158,8 +158,12 @@
 	return s, ok
 }
 
-// Account returns the client account that holds the given key.
+// Account returns the client account that holds the given key. No account holds the
+// empty one.
 func (c Config) Account(key string) (ClientAccount, bool) {
+	if key == "" {
+		return ClientAccount{}, false
+	}
 	if a, ok := c.byKey[key]; ok || len(c.byKeyHash) == 0 {
 		return a, ok
 	}
