site, relay: an empty list of accounts admits nobody

A configuration with an empty list of client accounts was taken for one without a list, so that removing the last account opened every route to everybody.

--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -134,9 +134,9 @@
 }
 
 // authenticate looks up the client account by its API key. Public routes and
-// configurations without accounts need no key.
+// configurations without a list of accounts need no key.
 func (x *exchange) authenticate() error {
-	if x.route.Public || len(x.config.Accounts) == 0 {
+	if x.route.Public || !x.config.NeedsKey() {
 		return nil
 	}
 	key := x.server.Names.AccountKey
--- a/site/config.go
+++ b/site/config.go
@@ -104,7 +104,10 @@
 	Routes   []Route         `json:"routes"`
 	Services []Service       `json:"services"`
 	Accounts []ClientAccount `json:"accounts"`
-	Limits   Limits          `json:"limits"`
+	// KeysRequired means that routes that are not public need a key even if there is no
+	// account; with accounts they always do.
+	KeysRequired bool   `json:"keys_required"`
+	Limits       Limits `json:"limits"`
 
 	byHost    map[string][]Route // Longest prefix first.
 	byService map[string]Service
@@ -158,6 +161,9 @@
 	return s, ok
 }
 
+// NeedsKey reports whether requests on routes that are not public need a key.
+func (c Config) NeedsKey() bool { return c.KeysRequired || len(c.Accounts) > 0 }
+
 // Account returns the client account that holds the given key. No account holds the
 // empty one.
 func (c Config) Account(key string) (ClientAccount, bool) {
