ports, serve, node: outlast a lack of file descriptors on every listener

When no connection could be accepted because descriptors ran out, the readiness server, the servers of metrics, admin and entry, and the mesh returned the error, the process ended, and requests that were passed on to targets were cut. Only the listener for clients retried.

ports.RetryListener retries for all of them, and logs the first failure and the recovery instead of a line every 50 ms.

--- a/node/assemble.go
+++ b/node/assemble.go
@@ -20,6 +20,7 @@
 	"bergamotworks/owner"
 	"bergamotworks/peer"
 	"bergamotworks/pool"
+	"bergamotworks/ports"
 	"bergamotworks/store"
 )
 
@@ -48,24 +49,33 @@
 func (n *Node) listen() (listeners, error) {
 	var l listeners
 	var err error
-	if l.client, err = n.Network.Listen(n.Settings.Listen); err != nil {
-		return l, trace.Wrap(err)
+	if l.client, err = n.open(n.Settings.Listen); err != nil {
+		return l, err
 	}
-	if l.admin, err = n.Network.Listen(n.Settings.Admin); err != nil {
-		return l, trace.Wrap(err)
+	if l.admin, err = n.open(n.Settings.Admin); err != nil {
+		return l, err
 	}
-	if l.peer, err = n.Network.Listen(n.Settings.Peer); err != nil {
-		return l, trace.Wrap(err)
+	if l.peer, err = n.open(n.Settings.Peer); err != nil {
+		return l, err
 	}
 	if n.Settings.Routes == "" {
 		return n.wrapTLS(l)
 	}
-	if l.routes, err = n.Network.Listen(n.Settings.Routes); err != nil {
-		return l, trace.Wrap(err)
+	if l.routes, err = n.open(n.Settings.Routes); err != nil {
+		return l, err
 	}
 	return n.wrapTLS(l)
 }
 
+// open returns a listener that outlasts a lack of file descriptors.
+func (n *Node) open(address string) (net.Listener, error) {
+	l, err := n.Network.Listen(address)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return &ports.RetryListener{Listener: l, Clock: n.Clock, Log: n.Log}, nil
+}
+
 // wrapTLS enables TLS on the client, admin and routes listeners if a
 // certificate is configured.
 func (n *Node) wrapTLS(l listeners) (listeners, error) {
--- a/relay/server.go
+++ b/relay/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -126,25 +125,8 @@
 		if s.isClosed() {
 			return nil
 		}
-		if !s.retryAccept(err) {
-			return trace.Wrap(err)
-		}
-	}
-}
-
-// acceptRetryDelay is the delay after a connection could not be accepted.
-const acceptRetryDelay = 50 * time.Millisecond
-
-// retryAccept waits and reports true after an error that may be temporary, such
-// as too many open files.
-func (s *Server) retryAccept(err error) bool {
-	var n net.Error
-	if errors.Is(err, net.ErrClosed) || !errors.As(err, &n) {
-		return false
+		return trace.Wrap(err)
 	}
-	s.Log.WithField("error", err.Error()).Warn("failed to accept a connection; retrying")
-	<-s.Clock.After(acceptRetryDelay)
-	return true
 }
 
 func (s *Server) accept(conn net.Conn) {
--- a/serve/node.go
+++ b/serve/node.go
@@ -219,17 +219,17 @@
 // assemble opens the listeners and creates the components.
 func (n *Node) assemble() error {
 	n.context, n.cancel = context.WithCancel(context.Background())
-	clients, err := n.Network.Listen(n.Settings.Listen)
+	clients, err := n.listen(n.Settings.Listen)
 	if err != nil {
-		return trace.Wrap(err)
+		return err
 	}
-	ready, err := n.Network.Listen(n.Settings.ReadyListen)
+	ready, err := n.listen(n.Settings.ReadyListen)
 	if err != nil {
-		return trace.Wrap(err)
+		return err
 	}
-	peers, err := n.Network.Listen(n.Settings.PeerListen)
+	peers, err := n.listen(n.Settings.PeerListen)
 	if err != nil {
-		return trace.Wrap(err)
+		return err
 	}
 	n.assembleMembership(peers)
 	n.assembleServing(clients)
@@ -243,6 +243,15 @@
 	return nil
 }
 
+// listen returns a listener that outlasts a lack of file descriptors.
+func (n *Node) listen(address string) (net.Listener, error) {
+	l, err := n.Network.Listen(address)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return &ports.RetryListener{Listener: l, Clock: n.Clock, Log: n.Log}, nil
+}
+
 func (n *Node) assembleMembership(listener net.Listener) {
 	n.peers = &peer.Mesh{
 		Self: n.Settings.VM, Listener: listener, Network: n.Network, Clock: n.Clock,
--- a/serve/ready.go
+++ b/serve/ready.go
@@ -46,9 +46,9 @@
 	if r.node.Settings.MetricsListen == "" {
 		return nil
 	}
-	listener, err := r.node.Network.Listen(r.node.Settings.MetricsListen)
+	listener, err := r.node.listen(r.node.Settings.MetricsListen)
 	if err != nil {
-		return trace.Wrap(err)
+		return err
 	}
 	r.metrics = &fasthttp.Server{Handler: r.writeMetrics, ReadTimeout: readyTimeout, IdleTimeout: readyIdleTimeout}
 	m := metricsServer{readiness: r, listener: listener}
