relay, wire: a response that is none is no sign of a crash

A request that clients repeated unchanged was quarantined as one that crashes targets when targets answered it with garbage, an endless head, endless interim responses or a malformed body, and also when its body was not complete at the deadline: the node broke the connection off itself, and took that for a connection that the target had lost. Sound targets then got no such request any more; callers saw 503 for content that runs.

A loss is recorded only if the connection failed by itself: not for InvalidResponseError (the connection was intact when the node gave up), nor after the context of the attempt has ended. What the error means for the health of the target and for retries is as before, but a body that is not complete at the deadline no longer counts as an unreachable target.

TestPath no_response_is_no_crash and deadline_is_no_crash failed before: the fourth identical order got 503. A target that cuts its responses without having crashed can't be told from one that crashes; that is still open.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -41,8 +41,15 @@
 	return x.endAttempt(t, x.forward(ctx, resp))
 }
 
-// endAttempt records and logs the outcome of an attempt and returns err. A lost
-// connection is recorded as a crash of the target if the request may have run.
+// mayHaveCrashed reports whether the target of an attempt may have crashed on the
+// request. One that sent something that is no response has not.
+func mayHaveCrashed(err error) bool {
+	e := fault.From(err)
+	var invalid *wire.InvalidResponseError
+	return e.Kind == fault.ConnectionLost && e.Verdict != fault.NotRun && !errors.As(err, &invalid)
+}
+
+// endAttempt records and logs the outcome of an attempt and returns err.
 func (x *exchange) endAttempt(t site.Target, err error) error {
 	s := x.server
 	s.mutex.Lock()
@@ -54,7 +61,7 @@
 	}
 	s.logFailedAttempt(x, t, err)
 	s.reportTarget(t, err)
-	if e := fault.From(err); e.Kind == fault.ConnectionLost && e.Verdict != fault.NotRun {
+	if mayHaveCrashed(err) {
 		x.recordLoss(t)
 	}
 	return err
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -27,7 +27,7 @@
 	if x.route.Kind == site.Stream && resp.Status < 300 {
 		return x.forwardEvents(ctx, resp)
 	}
-	return x.forwardBuffered(resp)
+	return x.forwardBuffered(ctx, resp)
 }
 
 // continues reports whether a response can continue the stream that has begun: it
@@ -38,11 +38,11 @@
 
 // forwardBuffered reads a response completely before it sends any of it, so
 // that an interrupted response can still be replaced by a retry.
-func (x *exchange) forwardBuffered(resp *wire.Response) error {
+func (x *exchange) forwardBuffered(ctx context.Context, resp *wire.Response) error {
 	b := wire.Body{Budget: &x.server.Client.Buffers, Limit: maxBufferedBytes}
 	defer b.Release()
 	if err := b.ReadAll(resp.Body); err != nil {
-		return x.unreadable("answer", err)
+		return x.unreadable(ctx, resp, "answer", err)
 	}
 	x.firstByte = x.server.Clock.Now().Sub(x.arrived)
 	x.client.setWriteTimeout(x.timeLeft())
@@ -57,12 +57,20 @@
 }
 
 // unreadable returns the error for a response, an answer or a stream, that could
-// not be read to its end. Its target has not crashed if it sends too much.
-func (x *exchange) unreadable(what string, err error) error {
+// not be read to its end. Its target may have crashed only if the connection failed by
+// itself.
+func (x *exchange) unreadable(ctx context.Context, resp *wire.Response, what string, err error) error {
 	if fault.From(err).Kind == fault.TooLarge {
 		return fault.New(fault.TargetFailed, fault.MayHaveRun, "the %s of %s is too long: %s", what, x.target, err)
 	}
-	return fault.New(fault.ConnectionLost, fault.MayHaveRun, "the %s of %s broke off: %s", what, x.target, err)
+	if ctx.Err() != nil {
+		return fault.New(fault.From(ctx.Err()).Kind, fault.MayHaveRun, "the %s of %s was not complete in time", what, x.target)
+	}
+	lost := fault.New(fault.ConnectionLost, fault.MayHaveRun, "the %s of %s broke off: %s", what, x.target, err)
+	if !resp.ConnectionFailed() {
+		return &wire.InvalidResponseError{Cause: lost}
+	}
+	return lost
 }
 
 // writeHeader writes the status line and the header of a target's response,
@@ -122,13 +130,11 @@
 		case err == nil:
 			continue
 		case errors.Is(err, errStreamEnd) && resp.UntilClose && !received:
-			return x.unreadable("stream", io.ErrUnexpectedEOF)
+			return x.unreadable(ctx, resp, "stream", io.ErrUnexpectedEOF)
 		case errors.Is(err, errStreamEnd):
 			return x.finishEvents(resp)
-		case ctx.Err() != nil:
-			return fault.New(fault.DeadlineExceeded, fault.MayHaveRun, "the stream of %s was not done in time", x.target)
 		}
-		return x.unreadable("stream", err)
+		return x.unreadable(ctx, resp, "stream", err)
 	}
 }
 
--- a/wire/client.go
+++ b/wire/client.go
@@ -116,7 +116,7 @@
 	stop()
 	if err != nil {
 		writer.abort()
-		return nil, lostResponse(headerCtx, call.Address, err)
+		return nil, lostResponse(headerCtx, conn, writer, err)
 	}
 	r.client, r.writer = c, writer
 	r.stop = context.AfterFunc(ctx, func() { Discard(conn) })
@@ -183,15 +183,30 @@
 	return fault.Canceled
 }
 
-// lostResponse returns the error of a call that was sent, at least in part, and
-// got no response.
-func lostResponse(ctx context.Context, address string, err error) error {
+// lostResponse returns the error of a call that was sent, at least in part, and got no
+// response; its writer has ended.
+func lostResponse(ctx context.Context, conn *Conn, w *requestWriter, err error) error {
 	if ctx.Err() != nil {
-		return fault.New(contextKind(ctx), fault.MayHaveRun, "call to %s: %s", address, ctx.Err())
+		return fault.New(contextKind(ctx), fault.MayHaveRun, "call to %s: %s", conn.address, ctx.Err())
 	}
-	return fault.New(fault.ConnectionLost, fault.MayHaveRun, "call to %s: %s", address, err)
+	lost := fault.New(fault.ConnectionLost, fault.MayHaveRun, "call to %s: %s", conn.address, err)
+	if conn.ReadErr == nil && w.succeeded() {
+		return &InvalidResponseError{Cause: lost}
+	}
+	return lost
+}
+
+// InvalidResponseError is the error of a call for which the target sent something that
+// is no response. Its connection was intact, so that it has not crashed.
+type InvalidResponseError struct {
+	Cause *fault.Error // Of kind ConnectionLost.
 }
 
+func (e *InvalidResponseError) Error() string { return e.Cause.Error() }
+
+// Unwrap returns the *fault.Error, which carries the kind and the verdict.
+func (e *InvalidResponseError) Unwrap() error { return e.Cause }
+
 // awaitResponse reads the header of the response that belongs to the call. The guard
 // observes those that do not, too: they are the word of the same target.
 func (c *Client) awaitResponse(conn *Conn, call Call) (*Response, error) {
@@ -301,6 +316,10 @@
 	}
 }
 
+// ConnectionFailed reports whether the connection has failed or was closed while the
+// response was read. It is false for a body that is malformed.
+func (r *Response) ConnectionFailed() bool { return r.conn.ReadErr != nil }
+
 // ReadAll reads the remaining body. If that is longer than limit bytes, it returns
 // a *fault.Error of kind TooLarge; any other error means that the body could not be
 // read to its end.
