relay: no body in responses to HEAD, nor with status 204 and 304

Errors of the node itself had a body in the response to a HEAD request, and streams with status 204, or of a HEAD request, a last chunk, so that a client that kept the connection took these bytes for its next response. The response to HEAD also stated a length of zero instead of the target's.

TestResponsesWithoutABodyEndWithTheirHeader failed before, for responses of targets, streams and errors of the node.

--- a/relay/check.go
+++ b/relay/check.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -112,7 +111,7 @@
 	}
 	x.client.setWriteTimeout(x.timeLeft())
 	closeConn := x.client.server.draining.Load()
-	writeError(x.client.writer, x.server.Names.Request, x.id, e, closeConn)
+	x.client.writeError(x.request.Method, x.id, e, closeConn)
 	if err := x.client.writer.Flush(); err != nil {
 		return false
 	}
@@ -139,14 +138,16 @@
 	_ = c.conn.SetWriteDeadline(c.server.Clock.Now().Add(max(0, timeout) + writeGrace)) // A failure also fails the next write.
 }
 
-// writeError writes a response for an error of this node.
-func writeError(w *bufio.Writer, idHeader, id string, e *fault.Error, closeConn bool) {
+// writeError writes a response for an error of this node, without its body if the method
+// of the request is HEAD. The identifier of the request and its method may be empty if
+// they are not known.
+func (c *clientConn) writeError(method, id string, e *fault.Error, closeConn bool) {
 	status := statusCode(e)
 	body := fmt.Sprintf("%s\n", e.Message)
 	var b strings.Builder
 	fmt.Fprintf(&b, "HTTP/1.1 %d %s\r\n", status, http.StatusText(status))
 	if id != "" {
-		fmt.Fprintf(&b, "%s: %s\r\n", idHeader, id)
+		fmt.Fprintf(&b, "%s: %s\r\n", c.server.Names.Request, id)
 	}
 	if e.RetryAfter > 0 {
 		fmt.Fprintf(&b, "Retry-After: %s\r\n", strconv.FormatFloat(e.RetryAfter.Seconds(), 'f', 3, 64))
@@ -154,6 +155,9 @@
 	if closeConn {
 		b.WriteString("Connection: close\r\n")
 	}
-	fmt.Fprintf(&b, "Content-Type: text/plain; charset=utf-8\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
-	_, _ = w.WriteString(b.String()) // Flush reports the error.
+	fmt.Fprintf(&b, "Content-Type: text/plain; charset=utf-8\r\nContent-Length: %d\r\n\r\n", len(body))
+	if method != http.MethodHead {
+		b.WriteString(body)
+	}
+	_, _ = c.writer.WriteString(b.String()) // Flush reports the error.
 }
--- a/relay/conn.go
+++ b/relay/conn.go
@@ -102,13 +102,13 @@
 	r := wire.Reader{Buffer: c.reader, Continue: c.sendContinue}
 	req, err := r.ReadHeader()
 	if err != nil {
-		c.rejectUnreadable(err)
+		c.rejectUnreadable("", err)
 		return nil, false
 	}
 	c.setReadTimeout(bodyTimeout)
 	limit := cmp.Or(limits.BodyBytes, defaultMaxBodyBytes)
 	if err := r.ReadBody(req, int64(limit)); err != nil {
-		c.rejectUnreadable(err)
+		c.rejectUnreadable(req.Method, err)
 		return nil, false
 	}
 	return req, true
@@ -126,8 +126,8 @@
 }
 
 // rejectUnreadable responds to a request that cannot be read; the connection is
-// closed afterwards.
-func (c *clientConn) rejectUnreadable(err error) {
+// closed afterwards. The method is empty if it is not known.
+func (c *clientConn) rejectUnreadable(method string, err error) {
 	var e *fault.Error
 	if !errors.As(err, &e) {
 		return
@@ -135,7 +135,7 @@
 	c.server.counters.recordFailure(e.Kind)
 	c.server.Log.WithField("error", e.Error()).Warn("failed to read a request")
 	_ = c.conn.SetWriteDeadline(c.server.Clock.Now().Add(writeGrace)) // A failure also fails the next write.
-	writeError(c.writer, "", "", e, true)
+	c.writeError(method, "", e, true)
 	_ = c.writer.Flush() // If this fails, the client sees a closed connection.
 }
 
--- a/relay/dispatch.go
+++ b/relay/dispatch.go
@@ -27,7 +27,8 @@
 	maxPriority      = 9
 	headerConnection = "connection"
 
-	headerContentType = "Content-Type"
+	headerContentType   = "Content-Type"
+	headerContentLength = "Content-Length"
 )
 
 // dispatch sends the request to one target after another until one has
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -24,6 +24,9 @@
 	if x.headerSent && !x.continues(resp) {
 		return fault.New(fault.TargetFailed, fault.MayHaveRun, "status %d, content type %q for a stream that goes on", resp.Status, resp.Headers.Get(headerContentType))
 	}
+	if x.bodiless(resp) {
+		return x.forwardHeader(resp)
+	}
 	if x.route.Kind == site.Stream && resp.Status < 300 {
 		return x.forwardEvents(ctx, resp)
 	}
@@ -36,6 +39,30 @@
 	return resp.Status == x.status && resp.Headers.Get(headerContentType) == x.contentType
 }
 
+// bodiless reports whether the response ends with its header, whatever that says of a
+// body. The client would take a body for the next response.
+func (x *exchange) bodiless(resp *wire.Response) bool {
+	return x.request.Method == http.MethodHead || resp.Status == http.StatusNoContent || resp.Status == http.StatusNotModified
+}
+
+// forwardHeader forwards a response without a body. The length that it states is that
+// of the response to a GET.
+func (x *exchange) forwardHeader(resp *wire.Response) error {
+	x.firstByte = x.server.Clock.Now().Sub(x.arrived)
+	x.client.setWriteTimeout(x.timeLeft())
+	x.headerSent = true
+	var framing []wire.Header
+	if length := resp.Headers.Get(headerContentLength); length != "" && resp.Status != http.StatusNoContent {
+		framing = append(framing, wire.Header{Name: headerContentLength, Value: length})
+	}
+	x.writeHeader(resp, framing...)
+	if err := x.flush(); err != nil {
+		return err
+	}
+	x.complete = true
+	return nil
+}
+
 // forwardBuffered reads a response completely before it sends any of it, so
 // that an interrupted response can still be replaced by a retry.
 func (x *exchange) forwardBuffered(ctx context.Context, resp *wire.Response) error {
@@ -47,7 +74,7 @@
 	x.firstByte = x.server.Clock.Now().Sub(x.arrived)
 	x.client.setWriteTimeout(x.timeLeft())
 	x.headerSent = true
-	x.writeHeader(resp, wire.Header{Name: "Content-Length", Value: strconv.Itoa(b.Len())})
+	x.writeHeader(resp, wire.Header{Name: headerContentLength, Value: strconv.Itoa(b.Len())})
 	_, _ = b.WriteTo(x.client.writer) // Flush reports the error.
 	if err := x.flush(); err != nil {
 		return err
@@ -75,7 +102,7 @@
 
 // writeHeader writes the status line and the header of a target's response,
 // with framing in place of its own framing fields.
-func (x *exchange) writeHeader(resp *wire.Response, framing wire.Header) {
+func (x *exchange) writeHeader(resp *wire.Response, framing ...wire.Header) {
 	x.status = resp.Status
 	var b strings.Builder
 	fmt.Fprintf(&b, "HTTP/1.1 %d %s\r\n", resp.Status, http.StatusText(resp.Status))
@@ -90,7 +117,10 @@
 	if x.server.draining.Load() || x.request.Close {
 		b.WriteString("Connection: close\r\n")
 	}
-	b.WriteString(framing.Name + ": " + framing.Value + "\r\n\r\n")
+	for _, f := range framing {
+		b.WriteString(f.Name + ": " + f.Value + "\r\n")
+	}
+	b.WriteString("\r\n")
 	_, _ = x.client.writer.WriteString(b.String()) // Flush reports the error.
 }
 
