relay: ask for a body within a write timeout of its own

The interim response 100 Continue was written under the write timeout of the response before it. On a connection kept for longer than that, it had passed: the node closed the connection, and the client got nothing.

TestRequestsOnOneConnection continue_late failed before.

--- a/relay/conn.go
+++ b/relay/conn.go
@@ -118,7 +118,10 @@
 	_ = c.conn.SetReadDeadline(c.server.Clock.Now().Add(d)) // A failure also fails the next read.
 }
 
+// sendContinue tells the client to send the body. The write timeout of the response
+// before may have passed.
 func (c *clientConn) sendContinue() error {
+	c.setWriteTimeout(0)
 	if _, err := c.writer.WriteString("HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
 		return err
 	}
