relay: read on after a request is rejected, so that the client sees why

A request that was rejected while its body arrived, as too large or malformed, got its response, and the connection was closed at once. That resets a connection on which bytes arrive, and the client lost the response: TestRequestsOnOneConnection rejected_while_it_arrives got 'connection reset by peer' before. The node now reads on for a second, or 8 MiB, or until the client closes the connection.

--- a/relay/conn.go
+++ b/relay/conn.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"sync/atomic"
 	"time"
@@ -23,6 +24,11 @@
 	// writeGrace is how long after the deadline of a request its response may
 	// still be written.
 	writeGrace = 1 * time.Second
+	// lingerTimeout and maxLingerBytes limit what is still read of a request that has
+	// been rejected. A connection that is closed while bytes arrive is reset, and the
+	// client may lose the response.
+	lingerTimeout  = 1 * time.Second
+	maxLingerBytes = 8 << 20
 )
 
 // errShuttingDown is the cause with which requests are canceled that are in flight at
@@ -139,7 +145,11 @@
 	c.server.Log.WithField("error", e.Error()).Warn("failed to read a request")
 	_ = c.conn.SetWriteDeadline(c.server.Clock.Now().Add(writeGrace)) // A failure also fails the next write.
 	c.writeError(method, "", e, true)
-	_ = c.writer.Flush() // If this fails, the client sees a closed connection.
+	if err := c.writer.Flush(); err != nil {
+		return // The client sees a closed connection.
+	}
+	c.setReadTimeout(lingerTimeout)
+	_, _ = io.CopyN(io.Discard, c.reader, maxLingerBytes) // It ends when the client closes the connection.
 }
 
 // disconnectWatch cancels its context if the client disconnects while its
