relay, wire, serve: limit the bodies of all requests together

The bodies of requests were limited each and not together: 84 requests of 4 MiB at once held 361 MB in TestManyLargeRequestsAtOnce, and the smallest machine has 184 MB, so that a few clients could end a node with all requests in it.

They share a budget now, a quarter of memory-mb (32 MiB if that is not set), of which bodies over 64 KiB get half. What has no room is refused before it is read, if its length is stated, with 503, not run, and a Retry-After. Chunked bodies take memory as they arrive. New metric: relay_request_body_bytes.

Not covered: the servers of the product's own interface limit each body.

--- a/cmds/relay.go
+++ b/cmds/relay.go
@@ -107,6 +107,7 @@
 			writer.Start()
 			log.SetOutput(writer)
 			tuneMemory(v.memoryMB)
+			v.node.RequestBodyBytes = requestBodyBytes(v.memoryMB)
 			return errors.Join(relay(ctx, v, a.relayArguments(), log, set), writer.Close())
 		},
 	})
--- a/cmds/serve.go
+++ b/cmds/serve.go
@@ -132,6 +132,9 @@
 	// grows between two collections. The rest is for buffers of the kernel.
 	memoryLimitShare = 0.6
 	bytesPerMegabyte = 1_000_000
+	// requestBodyShare is the share of the memory of the VM that the bodies of requests
+	// of clients may take.
+	requestBodyShare = 0.25
 )
 
 // tuneMemory makes garbage collections less frequent, since the heap of a node is
@@ -155,6 +158,12 @@
 	return int64(memoryMB * bytesPerMegabyte * memoryLimitShare)
 }
 
+// requestBodyBytes returns the limit in bytes on the bodies of all requests, zero if the
+// memory of the VM is not known.
+func requestBodyBytes(memoryMB float64) int64 {
+	return int64(memoryMB * bytesPerMegabyte * requestBodyShare)
+}
+
 // serveNode runs a node until the context ends, then shuts it down gracefully.
 func serveNode(ctx context.Context, settings node.Settings, stores []string, log *logrus.Logger) error {
 	n := &node.Node{
--- a/relay/conn.go
+++ b/relay/conn.go
@@ -82,6 +82,7 @@
 	if !ok {
 		return false
 	}
+	defer r.Release()
 	arrived := c.server.Clock.Now()
 	defer c.busy.Store(false)
 	w := c.watchDisconnect()
@@ -105,7 +106,7 @@
 	}
 	c.busy.Store(true)
 	c.setReadTimeout(cmp.Or(limits.HeaderTimeout, defaultHeaderTimeout))
-	r := wire.Reader{Buffer: c.reader, Continue: c.sendContinue}
+	r := wire.Reader{Buffer: c.reader, Continue: c.sendContinue, Budget: &c.server.RequestBodies}
 	req, err := r.ReadHeader()
 	if err != nil {
 		c.rejectUnreadable("", err)
--- a/relay/server.go
+++ b/relay/server.go
@@ -62,11 +62,13 @@
 	Stages    StageRunner
 	Client    *wire.Client
 	Guard     *TargetGuard // That of Client; may be nil.
-	Bounds    func() Bounds
-	Clock     ports.Clock
-	Random    ports.Random
-	Log       *logrus.Entry
-	Metrics   *metrics.Set
+	// RequestBodies limits the bodies of all requests together.
+	RequestBodies wire.BufferBudget
+	Bounds        func() Bounds
+	Clock         ports.Clock
+	Random        ports.Random
+	Log           *logrus.Entry
+	Metrics       *metrics.Set
 	// Outdated reports whether another VM is known to have a newer configuration;
 	// nil means never.
 	Outdated func() bool
@@ -106,6 +108,7 @@
 		s.Guard.registerHolds()
 	}
 	s.Metrics.NewGauge("relay_buffered_bytes", func() float64 { return float64(s.Client.Buffers.Used()) })
+	s.Metrics.NewGauge("relay_request_body_bytes", func() float64 { return float64(s.RequestBodies.Used()) })
 	s.Metrics.NewGauge("relay_targets_lost_with_requests", s.lossCount)
 	s.Metrics.NewGauge("relay_quarantined_fingerprints", s.quarantineCount)
 }
--- a/serve/settings.go
+++ b/serve/settings.go
@@ -13,6 +13,9 @@
 	VM     string // Identifier of this VM, unique in the fleet.
 	Domain string // Failure domain of this VM.
 	Region string
+	// RequestBodyBytes limits the memory of the bodies of all requests of clients; zero
+	// means the default of [wire.BufferBudget].
+	RequestBodyBytes int64
 	// CPUShare is the fraction of a core that this VM has, and CPUSpeed the
 	// speed of that core as a multiple of a reference core. If either is zero,
 	// the CPU capacity is unknown.
--- a/wire/request.go
+++ b/wire/request.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http/httputil"
 	"strings"
+	"time"
 
 	"bergamotworks/fault"
 )
@@ -17,6 +18,24 @@
 	Headers Headers
 	Body    []byte
 	Close   bool // The connection is closed after the response.
+
+	budget *BufferBudget
+	taken  int // From the budget.
+}
+
+// Release returns the memory of the body to the budget of its [Reader].
+func (r *Request) Release() {
+	r.budget.Return(r.taken)
+	r.taken = 0
+}
+
+// take reports whether the budget has room for a body, and takes it.
+func (r *Request) take(budget *BufferBudget, size int) bool {
+	if !budget.Take(size, size) {
+		return false
+	}
+	r.budget, r.taken = budget, size
+	return true
 }
 
 // Host returns the value of the Host header field.
@@ -35,6 +54,17 @@
 	// "Expect: 100-continue", so that it can send the interim response. Nil means
 	// that none is sent.
 	Continue func() error
+	// Budget limits the bodies of the requests of all readers that share it; may be nil.
+	// [Request.Release] returns what a body takes of it.
+	Budget *BufferBudget
+}
+
+// bodyRetryAfter is the delay after which a client may try again to send a body for
+// which there was no memory.
+const bodyRetryAfter = 1 * time.Second
+
+func noMemory() error {
+	return fault.New(fault.Busy, fault.NotRun, "no memory for the body").WithRetryAfter(bodyRetryAfter)
 }
 
 // ReadHeader reads the header of the next request. An error of type *fault.Error
@@ -63,9 +93,10 @@
 	return q, nil
 }
 
-// ReadBody reads the body of a request into its Body. It rejects a malformed body
-// and one of more than limit bytes with an error of type *fault.Error. Any other
-// error is one of the connection or of Continue.
+// ReadBody reads the body of a request into its Body. It rejects a malformed body, one
+// of more than limit bytes and one for which the budget has no room with an error of
+// type *fault.Error, at once if the header states the length. Any other error is one of
+// the connection or of Continue.
 func (r *Reader) ReadBody(q *Request, limit int64) error {
 	length, err := q.Headers.bodyLength(0)
 	if err != nil {
@@ -77,6 +108,18 @@
 	if length > limit {
 		return bodyTooLarge(limit)
 	}
+	if length != chunked && !q.take(r.Budget, int(length)) {
+		return noMemory()
+	}
+	if err := r.readBody(q, length, limit); err != nil {
+		q.Release()
+		return err
+	}
+	return nil
+}
+
+// readBody reads a body whose length, if it is stated, has been taken from the budget.
+func (r *Reader) readBody(q *Request, length, limit int64) error {
 	if strings.EqualFold(q.Headers.Get("Expect"), "100-continue") && r.Continue != nil {
 		if err := r.Continue(); err != nil {
 			return err
@@ -86,7 +129,7 @@
 		return r.readChunks(q, limit)
 	}
 	q.Body = make([]byte, length)
-	_, err = io.ReadFull(r.Buffer, q.Body)
+	_, err := io.ReadFull(r.Buffer, q.Body)
 	return err
 }
 
@@ -94,18 +137,27 @@
 	return fault.New(fault.TooLarge, fault.NotRun, "the body is longer than %d bytes", limit)
 }
 
+// readChunks reads a chunked body, with memory from the budget as it arrives.
 func (r *Reader) readChunks(q *Request, limit int64) error {
-	body, err := io.ReadAll(io.LimitReader(httputil.NewChunkedReader(r.Buffer), limit+1))
-	if err != nil {
-		if errors.Is(err, io.ErrUnexpectedEOF) {
-			return err
-		}
-		return malformed("the chunked body: %s", err)
+	body := Body{Budget: r.Budget, Limit: int(limit) + 1}
+	err := body.ReadAll(httputil.NewChunkedReader(r.Buffer))
+	size := body.Len()
+	if err == nil {
+		q.Body = body.Bytes()
 	}
-	if int64(len(body)) > limit {
+	body.Release()
+	switch {
+	case int64(size) > limit:
 		return bodyTooLarge(limit)
+	case errors.Is(err, io.ErrUnexpectedEOF):
+		return err
+	case err != nil && fault.From(err).Kind == fault.TooLarge:
+		return noMemory()
+	case err != nil:
+		return malformed("the chunked body: %s", err)
+	case !q.take(r.Budget, size):
+		return noMemory()
 	}
-	q.Body = body
 	return skipTrailer(r.Buffer)
 }
 
