relay, wire: a node's own lack of descriptors says nothing of a target

When a node lacked file descriptors, ports or memory for a connection, the target it had tried was taken for an unreachable one, avoided, and reported to the other nodes, so that one node's shortage moved load off sound targets everywhere. ConnectError.Local tells such errors apart; they count as unknown and are not reported.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -19,6 +19,13 @@
 	return errors.As(err, &connectError) && connectError.Refused
 }
 
+// isLocalShortage reports whether this VM lacked the resources for an attempt, which says
+// nothing about the target.
+func isLocalShortage(err error) bool {
+	var connectError *wire.ConnectError
+	return errors.As(err, &connectError) && connectError.Local
+}
+
 // attempt sends the request to one target and forwards its response. MayRetry
 // says whether a further attempt is allowed after a failure.
 func (x *exchange) attempt(ctx context.Context, t site.Target, mayRetry bool) error {
@@ -73,7 +80,7 @@
 		return place.Succeeded
 	}
 	e := fault.From(err)
-	if place.IsHeld(err) {
+	if place.IsHeld(err) || isLocalShortage(err) {
 		return place.Unknown
 	}
 	switch e.Kind {
--- a/relay/report.go
+++ b/relay/report.go
@@ -69,6 +69,8 @@
 // nothing that other nodes should know.
 func reportKindOf(err error) (place.ReportKind, bool) {
 	switch e := fault.From(err); {
+	case isLocalShortage(err):
+		return 0, false
 	case e.Kind == fault.Conflict:
 		return place.Replaced, true
 	case refusedConnect(err):
--- a/wire/client.go
+++ b/wire/client.go
@@ -154,7 +154,8 @@
 			kind = contextKind(ctx)
 		}
 		return nil, &ConnectError{
-			cause: fault.New(kind, fault.NotRun, "connect to %s: %s", call.Address, err), Refused: errors.Is(err, syscall.ECONNREFUSED),
+			cause:   fault.New(kind, fault.NotRun, "connect to %s: %s", call.Address, err),
+			Refused: errors.Is(err, syscall.ECONNREFUSED), Local: isLocalShortage(err),
 		}
 	}
 	return NewConn(call.Address, stream), nil
@@ -163,9 +164,20 @@
 // ConnectError is the error of a call for which no connection was established.
 type ConnectError struct {
 	Refused bool // The host is reachable, but no process listens at the address.
+	Local   bool // This VM lacks file descriptors, ports or memory for the connection.
 	cause   *fault.Error
 }
 
+// isLocalShortage reports whether an error of a dial says nothing about the address.
+func isLocalShortage(err error) bool {
+	for _, e := range []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL} {
+		if errors.Is(err, e) {
+			return true
+		}
+	}
+	return false
+}
+
 func (e *ConnectError) Error() string { return e.cause.Error() }
 
 // Unwrap returns the *fault.Error, which carries the kind and the verdict.
