news: fetch in time for a second and third reader of the store

A node that does not read the store fetches from one of eight that do, every 0.6 s, and its state could be 1.7 s old by then. When both readers that it asked had stopped without closing their connections, it waited for the second one's timeout before it read the store itself: a target that left was used for more than 2 s.

The next fetch now begins when the state is 1.2 s old, and after three readers have not responded, 0.15 s apart, the store is read at once, while these fetches go on: a long transfer may need the time.

--- a/news/fetch.go
+++ b/news/fetch.go
@@ -12,17 +12,17 @@
 
 // fetchFromPeers fetches newer state from some live nodes.
 func (s *Service) fetchFromPeers(ctx context.Context) {
-	for _, vm := range s.randomPeers(s.View().Live()) {
+	for _, vm := range s.randomPeers(s.View().Live(), maxFetchPeers) {
 		_, _ = s.fetch(ctx, vm) // It logs its error; the next attempt follows soon.
 	}
 }
 
-// randomPeers returns the identifiers of up to maxFetchPeers of the VMs,
-// without this one, in random order.
-func (s *Service) randomPeers(vms []member.VM) []string {
+// randomPeers returns the identifiers of up to count of the VMs, without this one, in
+// random order.
+func (s *Service) randomPeers(vms []member.VM, count int) []string {
 	vms = slices.DeleteFunc(slices.Clone(vms), s.isSelf)
 	var ids []string
-	for len(vms) > 0 && len(ids) < maxFetchPeers {
+	for len(vms) > 0 && len(ids) < count {
 		at := int(s.Random.Uint64() % uint64(len(vms)))
 		ids = append(ids, vms[at].ID)
 		vms = slices.Delete(vms, at, at+1)
--- a/news/operators.go
+++ b/news/operators.go
@@ -13,7 +13,7 @@
 	for ctx.Err() == nil {
 		if !s.readsStore() {
 			revision = 0
-			if !s.sleep(ctx, fetchInterval) {
+			if !s.sleep(ctx, maxFetchInterval) {
 				return nil
 			}
 			continue
--- a/news/reader.go
+++ b/news/reader.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"bergamotworks/member"
@@ -14,9 +15,16 @@
 	// that the load on the store does not grow with the fleet.
 	readerCount   = 8
 	readerRankKey = "news/readers"
-	// fetchInterval is the time between two fetches from a store reader.
-	fetchInterval = 600 * time.Millisecond
-	// hedgeDelay is the time after which a second store reader is asked, too.
+	// maxFetchInterval and minFetchInterval limit the time between two fetches from a
+	// store reader. Between them, the next fetch begins when the state is fetchAge old, so
+	// that there is time to ask other readers, and the store, if some have died.
+	maxFetchInterval = 600 * time.Millisecond
+	minFetchInterval = 200 * time.Millisecond
+	fetchAge         = 1200 * time.Millisecond
+	// maxReadersAsked is the number of store readers that are asked before the store.
+	maxReadersAsked = 3
+	// hedgeDelay is the time after which another store reader is asked, too, or the
+	// store.
 	hedgeDelay = 150 * time.Millisecond
 	// maxDirectoryAge and maxOperatorAge are the greatest ages of the parts of a
 	// store reader's state at which others rely on it. They are not much longer
@@ -38,52 +46,90 @@
 
 func (s *Service) isSelf(m member.VM) bool { return m.ID == s.Self }
 
-// fetchFromReaders fetches state from a random store reader, and from another
-// one if the first has no recent state or has not responded after hedgeDelay. It
-// reports false if neither has recent state.
+// fetchFromReaders fetches state from a random store reader, and from up to
+// maxReadersAsked if the ones before have no recent state or have not responded after
+// hedgeDelay. It reports false if none has recent state, or hedgeDelay after it has asked
+// the last one.
 func (s *Service) fetchFromReaders(ctx context.Context) bool {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	vms := s.randomPeers(s.View().RankReady(readerRankKey, readerCount))
-	recent := make(chan bool, len(vms))
+	vms := s.randomPeers(s.View().RankReady(readerRankKey, readerCount), maxReadersAsked)
+	fetches := newReaderFetches(ctx, s, len(vms))
+	defer fetches.release()
 	var hedge <-chan time.Time
 	for waiting := 0; waiting > 0 || len(vms) > 0; {
 		if len(vms) > 0 && (waiting == 0 || hedge == nil) {
-			s.startFetch(readerFetch{service: s, ctx: ctx, vm: vms[0], recent: recent})
+			fetches.start(vms[0])
 			waiting++
 			vms = vms[1:]
 			hedge = s.Clock.After(hedgeDelay)
 		}
 		select {
-		case ok := <-recent:
+		case ok := <-fetches.recent:
 			if ok {
 				return true
 			}
 			waiting--
 		case <-hedge:
+			if len(vms) == 0 {
+				return false
+			}
 			hedge = nil
 		}
 	}
 	return false
 }
 
-// readerFetch is a fetch from one store reader.
-type readerFetch struct {
+// untilNextFetch returns the time until the next fetch from a store reader.
+func (s *Service) untilNextFetch() time.Duration {
+	return min(max(fetchAge-s.TimeSinceStoreRead(), minFetchInterval), maxFetchInterval)
+}
+
+// readerFetches are fetches from store readers at once. The first one that gets recent
+// state cancels the others; without one they go on, since a long transfer may need more
+// time than the caller has.
+type readerFetches struct {
 	service *Service
-	ctx     context.Context
-	vm      string
-	recent  chan<- bool // Receives whether the state is recent; has room for it.
+	context context.Context
+	cancel  context.CancelFunc
+	recent  chan bool    // Receives whether the state of a reader is recent; has room for all.
+	users   atomic.Int32 // The fetches that run, and the caller.
+}
+
+func newReaderFetches(ctx context.Context, s *Service, count int) *readerFetches {
+	f := &readerFetches{service: s, recent: make(chan bool, count)}
+	f.context, f.cancel = context.WithCancel(ctx)
+	f.users.Add(1)
+	return f
 }
 
-// startFetch starts a fetch, for which [Service.Run] waits before it returns.
-func (s *Service) startFetch(f readerFetch) {
-	s.fetches.Add(1)
-	go f.run()
+// start starts a fetch, for which [Service.Run] waits before it returns.
+func (f *readerFetches) start(vm string) {
+	f.users.Add(1)
+	f.service.fetches.Add(1)
+	go readerFetch{fetches: f, vm: vm}.run()
 }
 
-func (f readerFetch) run() {
+// release ends the use by a fetch or by the caller.
+func (f *readerFetches) release() {
+	if f.users.Add(-1) == 0 {
+		f.cancel()
+	}
+}
+
+// readerFetch is a fetch from one store reader.
+type readerFetch struct {
+	fetches *readerFetches
+	vm      string
+}
+
+func (r readerFetch) run() {
+	f := r.fetches
 	defer f.service.fetches.Done()
-	f.recent <- f.service.fetchFromReader(f.ctx, f.vm)
+	defer f.release()
+	recent := f.service.fetchFromReader(f.context, r.vm)
+	f.recent <- recent
+	if recent {
+		f.cancel()
+	}
 }
 
 // fetchFromReader fetches state from one store reader and reports whether it is
--- a/news/report.go
+++ b/news/report.go
@@ -151,7 +151,7 @@
 	if r.vm != "" {
 		return r.vm, true
 	}
-	vms := s.randomPeers(s.newerVMs(current))
+	vms := s.randomPeers(s.newerVMs(current), 1)
 	if len(vms) == 0 {
 		return "", false
 	}
--- a/news/service.go
+++ b/news/service.go
@@ -200,7 +200,7 @@
 func (s *Service) refresh(ctx context.Context) time.Duration {
 	useReaders := !s.readsStore()
 	if useReaders && s.fetchFromReaders(ctx) {
-		return fetchInterval
+		return s.untilNextFetch()
 	}
 	if useReaders && s.Clock.Now().Sub(s.lastReadError) < s.fallbackInterval() {
 		return retryInterval
