wire, ports: keep connections that have no file descriptor

An idle connection could be reused only if its socket could be probed, so that nodes on a network in memory dialed for each call, and what concerns kept connections could not be tested there. ports.Prober lets a connection say itself whether it is idle. TCP connections are probed as before.

--- a/ports/network.go
+++ b/ports/network.go
@@ -15,6 +15,12 @@
 	Dial(ctx context.Context, address string) (net.Conn, error)
 }
 
+// Prober is implemented by connections without a file descriptor.
+type Prober interface {
+	// Idle reports whether the connection is open and has nothing to read.
+	Idle() bool
+}
+
 // SystemNetwork is the network of the operating system.
 type SystemNetwork struct{}
 
--- a/wire/conn.go
+++ b/wire/conn.go
@@ -6,6 +6,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"bergamotworks/ports"
 )
 
 // maxIdleConns is the maximum number of idle connections to one address.
@@ -49,6 +51,9 @@
 	if c.Reader.Buffered() > 0 {
 		return false
 	}
+	if p, ok := c.Conn.(ports.Prober); ok {
+		return p.Idle()
+	}
 	s, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return false
