--- a/wire/client.go
+++ b/wire/client.go
@@ -331,17 +331,3 @@
 // ConnectionFailed reports whether the connection has failed or was closed while the
 // response was read. It is false for a body that is malformed.
 func (r *Response) ConnectionFailed() bool { return r.conn.ReadErr != nil }
-
-// ReadAll reads the remaining body. If that is longer than limit bytes, it returns
-// a *fault.Error of kind TooLarge; any other error means that the body could not be
-// read to its end.
-func (r *Response) ReadAll(limit int64) ([]byte, error) {
-	data, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
-	if err != nil {
-		return nil, err
-	}
-	if int64(len(data)) > limit {
-		return nil, fault.New(fault.TooLarge, fault.MayHaveRun, "the answer is longer than %d bytes", limit)
-	}
-	return data, nil
-}
--- a/wire/early_test.go
+++ b/wire/early_test.go
@@ -63,7 +63,8 @@
 	if diff := cmp.Diff(c.Want, r.Status); diff != "" {
 		t.Errorf("status (-want +got):\n%s", diff)
 	}
-	if _, err := r.ReadAll(100); err != nil {
+	body := wire.Body{Limit: 100}
+	if err := body.ReadAll(r.Body); err != nil {
 		t.Error(err)
 	}
 	if c.Sent > 0 {
--- a/wire/endless_test.go
+++ b/wire/endless_test.go
@@ -56,7 +56,8 @@
 		t.Errorf("response, error %v (-want +got):\n%s", err, diff)
 	}
 	if err == nil {
-		_, err = r.ReadAll(endlessBodyLimit)
+		body := wire.Body{Limit: endlessBodyLimit}
+		err = body.ReadAll(r.Body)
 		r.Close()
 	}
 	if ctx.Err() != nil {
