--- a/node/assemble.go
+++ b/node/assemble.go
@@ -67,13 +67,9 @@
 	return n.wrapTLS(l)
 }
 
-// open returns a listener that outlasts a lack of file descriptors.
 func (n *Node) open(address string) (net.Listener, error) {
-	l, err := n.Network.Listen(address)
-	if err != nil {
-		return nil, trace.Wrap(err)
-	}
-	return &ports.RetryListener{Listener: l, Clock: n.Clock, Log: n.Log}, nil
+	l, err := ports.ListenRetrying(n.Network, address, n.Clock, n.Log)
+	return l, trace.Wrap(err)
 }
 
 // wrapTLS enables TLS on the client, admin and routes listeners if a
--- a/ports/accept.go
+++ b/ports/accept.go
@@ -22,6 +22,15 @@
 	failures int // Since the last connection.
 }
 
+// ListenRetrying listens for connections on the address with a [RetryListener].
+func ListenRetrying(n Network, address string, c Clock, log *logrus.Entry) (net.Listener, error) {
+	l, err := n.Listen(address)
+	if err != nil {
+		return nil, err
+	}
+	return &RetryListener{Listener: l, Clock: c, Log: log}, nil
+}
+
 // Accept implements [net.Listener].
 func (l *RetryListener) Accept() (net.Conn, error) {
 	for {
--- a/relay/conn.go
+++ b/relay/conn.go
@@ -144,7 +144,7 @@
 	}
 	c.server.counters.recordFailure(e.Kind)
 	c.server.Log.WithField("error", e.Error()).Warn("failed to read a request")
-	_ = c.conn.SetWriteDeadline(c.server.Clock.Now().Add(writeGrace)) // A failure also fails the next write.
+	c.setWriteTimeout(0)
 	c.writeError(method, "", e, true)
 	if err := c.writer.Flush(); err != nil {
 		return // The client sees a closed connection.
--- a/serve/node.go
+++ b/serve/node.go
@@ -243,13 +243,9 @@
 	return nil
 }
 
-// listen returns a listener that outlasts a lack of file descriptors.
 func (n *Node) listen(address string) (net.Listener, error) {
-	l, err := n.Network.Listen(address)
-	if err != nil {
-		return nil, trace.Wrap(err)
-	}
-	return &ports.RetryListener{Listener: l, Clock: n.Clock, Log: n.Log}, nil
+	l, err := ports.ListenRetrying(n.Network, address, n.Clock, n.Log)
+	return l, trace.Wrap(err)
 }
 
 func (n *Node) assembleMembership(listener net.Listener) {
