--- a/engine/endless_test.go
+++ b/engine/endless_test.go
@@ -1,30 +1,20 @@
 package engine
 
 import (
-	"bufio"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
-	"runtime"
-	"runtime/metrics"
 	"strings"
 	"sync"
 	"testing"
 
+	"bergamotworks/flood"
 	"bergamotworks/note"
 	"bergamotworks/ports"
 	"bergamotworks/script"
 )
 
-const (
-	// maxEndlessHeap is the most memory in bytes that calls to endless targets may hold,
-	// a third of that of the smallest machine.
-	maxEndlessHeap    = 184_000_000 / 3
-	endlessBlockBytes = 32 << 10 // Of one write of an endless target.
-)
-
 // endlessCase is a response without an end, to many calls at once.
 type endlessCase struct {
 	Call   string `json:"call"`  // The kind of the call: rerank, generate, load or cache_events.
@@ -53,12 +43,14 @@
 	go endlessServer{server: server, listener: listener}.run()
 	defer func() { _ = server.Close() }() // The calls have ended.
 	r := &endlessRun{t: t, spec: c, address: listener.Addr().String(), client: &Client{Network: ports.SystemNetwork{}, Clock: ports.SystemClock{}}}
+	heap := flood.StartMeter()
 	for i := range c.Count {
 		r.calls.Add(1)
 		go endlessCall{owner: r, number: i}.run()
 	}
-	if most := r.measure(); most > maxEndlessHeap {
-		t.Errorf("%d calls at once hold %d bytes, want at most %d", c.Count, most, maxEndlessHeap)
+	r.calls.Wait()
+	if most := heap.Stop(); most > flood.MaxHeap {
+		t.Errorf("%d calls at once hold %d bytes, want at most %d", c.Count, most, flood.MaxHeap)
 	}
 	if used := r.client.buffers.Used(); used != 0 {
 		t.Errorf("%d bytes are in use in the end", used)
@@ -75,18 +67,14 @@
 
 // endlessHandler writes the response to the connection itself.
 func endlessHandler(c endlessCase) http.HandlerFunc {
-	block := []byte(strings.Repeat(c.Repeat, 1+endlessBlockBytes/len(c.Repeat)))
 	return func(w http.ResponseWriter, q *http.Request) {
 		conn, _, err := http.NewResponseController(w).Hijack()
 		if err != nil {
 			return
 		}
 		defer func() { _ = conn.Close() }() // The client has closed it.
-		out := bufio.NewWriterSize(conn, endlessBlockBytes)
-		_, err = io.WriteString(out, strings.ReplaceAll(c.Start, "{id}", q.Header.Get(HeaderRequestID)))
-		for err == nil {
-			_, err = out.Write(block)
-		}
+		start := strings.ReplaceAll(c.Start, "{id}", q.Header.Get(HeaderRequestID))
+		_, _ = flood.Send(conn, start, c.Repeat) // The client closes the connection.
 	}
 }
 
@@ -99,35 +87,6 @@
 	calls   sync.WaitGroup
 }
 
-// measure returns the most bytes of live objects until all calls have ended.
-func (r *endlessRun) measure() uint64 {
-	done := make(chan struct{})
-	go endlessWait{calls: &r.calls, done: done}.run()
-	var most uint64
-	for {
-		runtime.GC()
-		live := []metrics.Sample{{Name: "/gc/heap/live:bytes"}}
-		metrics.Read(live)
-		most = max(most, live[0].Value.Uint64())
-		select {
-		case <-done:
-			return most
-		default:
-		}
-	}
-}
-
-// endlessWait closes done when all calls have ended.
-type endlessWait struct {
-	calls *sync.WaitGroup
-	done  chan struct{}
-}
-
-func (w endlessWait) run() {
-	w.calls.Wait()
-	close(w.done)
-}
-
 // endlessCall is one of the calls at once.
 type endlessCall struct {
 	owner  *endlessRun
--- a/wire/endless_test.go
+++ b/wire/endless_test.go
@@ -5,13 +5,13 @@
 	"context"
 	"errors"
 	"net"
-	"strings"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
 
 	"bergamotworks/fault"
+	"bergamotworks/flood"
 	"bergamotworks/ports"
 	"bergamotworks/script"
 	"bergamotworks/wire"
@@ -106,14 +106,8 @@
 		e.done <- 0
 		return
 	}
-	sent, err := conn.Write([]byte(e.spec.Start))
-	block := []byte(strings.Repeat(e.spec.Repeat, 1+(32<<10)/len(e.spec.Repeat)))
 	_ = conn.SetWriteDeadline(time.Now().Add(2 * endlessTime)) // A failure shows as an endless test.
-	for err == nil {
-		var n int
-		n, err = conn.Write(block)
-		sent += n
-	}
+	sent, err := flood.Send(conn, e.spec.Start, e.spec.Repeat)
 	var timeout net.Error
 	if errors.As(err, &timeout) && timeout.Timeout() {
 		sent = 1 << 40 // The client has neither read nor closed.
