platform, fleet: the platform's names stay in platform

The stand-ins of fleet wrote keys, fields of entries and header fields of the platform themselves, with types that platform already has. The store's stand-in is platform.StoreServer now, uses the messages of platform.Store, and takes targets, configurations and drained domains as site has them; targets and clients use platform.HeaderNames.

--- a/fleet/client.go
+++ b/fleet/client.go
@@ -80,8 +80,9 @@
 		return err
 	}
 	_ = k.conn.SetDeadline(time.Now().Add(clientPatience)) // It never fails.
-	text := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Key: %s\r\nX-Deadline-Ms: %d\r\nContent-Length: %d\r\n\r\n%s",
-		q.Path, routeHost, q.ID, clientKey, clientDeadline.Milliseconds(), len(q.Body), q.Body)
+	header := field("Host", routeHost) + field(names.Request, q.ID) + field(names.AccountKey, clientKey) +
+		field(names.Deadline, strconv.FormatInt(clientDeadline.Milliseconds(), 10)) + field("Content-Length", strconv.Itoa(len(q.Body)))
+	text := "POST " + q.Path + " HTTP/1.1\r\n" + header + "\r\n" + q.Body
 	if _, err := io.WriteString(k.conn, text); err != nil {
 		c.drop(address)
 		return err
--- a/fleet/day.go
+++ b/fleet/day.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"math/rand/v2"
 	"time"
+
+	"bergamotworks/platform"
 )
 
 // Day is a fleet and what happens to it.
@@ -98,7 +100,7 @@
 	case CutNodes:
 		e.Other = (e.Node + 1 + r.IntN(d.Nodes-1)) % d.Nodes
 	case StoreMoment:
-		e.Detail = string([]StoreMode{StoreRefuses, StoreSilent, StoreLoses}[r.IntN(3)])
+		e.Detail = string([]platform.StoreMode{platform.StoreRefuses, platform.StoreSilent, platform.StoreLoses}[r.IntN(3)])
 	case TargetFault:
 		e.Detail = string([]Fault{Garbage, CutBody, ErrorReply, Repeat, Endless, Refuse, AskWait, RepeatLate, RepeatLate, Silent}[r.IntN(10)])
 	}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -36,7 +36,7 @@
 	}
 	server := &fasthttp.Server{Handler: func(*fasthttp.RequestCtx) {}}
 	served := make(chan error, 1)
-	go func() { served <- server.Serve(l) }()
+	go serverRun{server: server, listener: l, done: served}.run()
 	client := &fasthttp.Client{}
 	if _, _, err := client.Get(nil, "http://"+l.Addr().String()); err != nil {
 		panic(err)
@@ -48,6 +48,15 @@
 	os.Exit(m.Run())
 }
 
+// serverRun serves until the server is shut down and sends its error to done.
+type serverRun struct {
+	server   *fasthttp.Server
+	listener net.Listener
+	done     chan<- error
+}
+
+func (r serverRun) run() { r.done <- r.server.Serve(r.listener) }
+
 // TestDays guards against orders of events, several at once, in which a rule is broken.
 func TestDays(t *testing.T) {
 	requests, served := 0, 0
--- a/fleet/run.go
+++ b/fleet/run.go
@@ -6,6 +6,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"bergamotworks/platform"
 )
 
 const (
@@ -80,8 +82,8 @@
 	case ResetNode:
 		w.network.Reset(n.ip, "")
 	case StoreMoment:
-		w.store.SetMode(StoreMode(e.Detail))
-		w.after(lasting, func() { w.store.SetMode(StoreUp) })
+		w.store.SetMode(platform.StoreMode(e.Detail))
+		w.after(lasting, func() { w.store.SetMode(platform.StoreUp) })
 	case MoveRoute:
 		w.moveRoute([]string{idempotentPath, orderPath, streamPath}[e.Other%3])
 	case WithdrawKey:
@@ -92,7 +94,7 @@
 	case CrashRequest:
 		w.after(0, func() { w.sendCrashes(e, lasting) })
 	case OddEntry:
-		w.store.Put(fmt.Sprintf("servers/odd-%d", e.Other), oddEntry(e.Other), 0)
+		w.store.PutOddTarget(fmt.Sprintf("odd-%d", e.Other), e.Other)
 	case TargetLeaves, TargetRemoved, TargetSays, TargetDies, TargetReused, TargetFault:
 		if t := w.anyTarget(fmt.Sprintf("svc-%d", e.Other%services), e.Other/services); t != nil {
 			w.applyTarget(e, t, lasting)
@@ -100,29 +102,19 @@
 	}
 }
 
-// oddEntry returns a value that names no target, as another writer may leave it.
-func oddEntry(number int) []byte {
-	list := []string{
-		`{"service":"svc-0"}`, `not JSON`,
-		`{"service":null,"addr":"10.1.9.9:80","zone":"z0","version":"v1","slots":1,"state":"ready","coldLeftMs":0,"seq":1}`,
-	}
-	return []byte(list[number%len(list)])
-}
-
 // applyTarget begins an event of a target.
 func (w *World) applyTarget(e Event, t *target, lasting time.Duration) {
-	key := "servers/" + t.id
 	switch e.Kind {
 	case TargetLeaves:
-		w.recordDeparture(t, w.store.Put(key, t.entry("draining", 2), 0))
+		w.recordDeparture(t, w.store.PutTarget(t.entry(true), 2))
 		w.after(drainTime, func() { w.endTarget(t) })
 	case TargetRemoved:
-		w.recordDeparture(t, w.store.Remove(key))
+		w.recordDeparture(t, w.store.RemoveTarget(t.id))
 		w.after(drainTime, func() { w.endTarget(t) })
 	case TargetSays:
 		t.setLeaving()
 		w.after(lasting, func() {
-			w.recordDeparture(t, w.store.Put(key, t.entry("draining", 2), 0))
+			w.recordDeparture(t, w.store.PutTarget(t.entry(true), 2))
 			time.Sleep(drainTime)
 			w.endTarget(t)
 		})
@@ -133,7 +125,7 @@
 		t.end()
 		t.running.Wait()
 		w.addTarget(t.service, t.address)
-		w.after(crashNoticed, func() { w.store.Remove(key) })
+		w.after(crashNoticed, func() { w.store.RemoveTarget(t.id) })
 		return
 	default:
 		t.setFault(Fault(e.Detail))
@@ -147,7 +139,7 @@
 func (w *World) endTarget(t *target) {
 	w.dropTarget(t)
 	t.end()
-	w.after(crashNoticed, func() { w.store.Remove("servers/" + t.id) })
+	w.after(crashNoticed, func() { w.store.RemoveTarget(t.id) })
 }
 
 func (w *World) restart(n *node, end func(*node), wait time.Duration) {
@@ -227,11 +219,11 @@
 		w.mutex.Unlock()
 		return
 	}
-	at := w.store.Put("op/evacuate/"+domain, []byte("{}"), 0)
+	at := w.store.DrainDomain(domain, true)
 	w.drained = append(w.drained, drainedDomain{domain: domain, from: at})
 	w.mutex.Unlock()
 	w.after(d, func() {
-		at := w.store.Remove("op/evacuate/" + domain)
+		at := w.store.DrainDomain(domain, false)
 		w.mutex.Lock()
 		defer w.mutex.Unlock()
 		w.drained[number].to = at
--- a/fleet/target.go
+++ b/fleet/target.go
@@ -2,14 +2,17 @@
 
 import (
 	"bufio"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
+
+	"bergamotworks/platform"
+	"bergamotworks/site"
 )
 
 // Run is one request that has reached a target and that it has begun to run.
@@ -112,15 +115,9 @@
 	t.mutex.Unlock()
 }
 
-// entry returns the entry of the target in the store.
-func (t *target) entry(state string, sequence int) []byte {
-	data, err := json.Marshal(map[string]any{
-		"service": t.service, "addr": t.address, "zone": t.domain, "version": "v1", "slots": 64, "state": state, "coldLeftMs": 0, "seq": sequence,
-	})
-	if err != nil {
-		panic(err) // The map has only strings and numbers.
-	}
-	return data
+// entry returns what the target says of itself in the store.
+func (t *target) entry(draining bool) site.Target {
+	return site.Target{ID: t.id, Service: t.service, Address: t.address, Domain: t.domain, Version: "v1", Slots: 64, Draining: draining}
 }
 
 func (t *target) setFault(f Fault) {
@@ -168,33 +165,36 @@
 	c.target.world.recordNotice(Notice{Target: c.target.id, Node: hostOf(c.conn.remote), Leaves: leaves, At: time.Now()})
 }
 
+// names are those of the header fields that targets and clients use.
+var names = platform.HeaderNames()
+
+// field returns a header field as it is sent.
+func field(name, value string) string { return name + ": " + value + "\r\n" }
+
 // serve handles one request and reports whether the connection stays open.
 func (c targetConn) serve(q *http.Request, body string) bool {
 	t := c.target
-	id := q.Header.Get("X-Attempt-Id")
+	id := q.Header.Get(names.Request)
 	t.mutex.Lock()
 	f, leaving := t.fault, t.leaving
 	t.mutex.Unlock()
-	header := "X-Attempt-Id: " + id + "\r\nX-Instance-Id: " + t.id + "\r\nX-Response-Seal: seal-" + t.id + "\r\n"
+	header := field(names.Request, id) + field(names.Responder, t.id) + field(names.Seal, "seal-"+t.id)
 	if leaving {
-		header += "Server-Leaving: 1\r\n"
+		header += field(names.Leaving, "1")
 		if f.sendsHeader() && !strings.HasPrefix(body, crashBody) {
 			c.note(true)
 		}
 	}
-	if q.Header.Get("X-Expect-Instance") != t.id {
+	if q.Header.Get(names.Target) != t.id {
 		return c.write("421 Misdirected Request", header, "")
 	}
-	if strings.HasPrefix(q.URL.Path, "/api/") {
-		return c.write("200 OK", header, "{}")
-	}
 	t.world.recordArrival(t.id, hostOf(c.conn.remote))
 	if f == AskWait {
 		c.note(false)
-		return c.write("503 Service Unavailable", fmt.Sprintf("%sX-Not-Executed: 1\r\nRetry-After: %d\r\n", header, waitSeconds), "")
+		header += field("Retry-After", strconv.Itoa(waitSeconds))
 	}
-	if f == Refuse {
-		return c.write("503 Service Unavailable", header+"X-Not-Executed: 1\r\n", "")
+	if f == AskWait || f == Refuse {
+		return c.write("503 Service Unavailable", header+field(names.NotRun, "1"), "")
 	}
 	t.world.recordRun(Run{Target: t.id, Path: q.URL.Path, ID: id, Body: body, Node: hostOf(c.conn.remote), At: time.Now()})
 	time.Sleep(targetWork)
--- a/fleet/world.go
+++ b/fleet/world.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -9,6 +8,9 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"bergamotworks/platform"
+	"bergamotworks/site"
 )
 
 const (
@@ -24,7 +26,7 @@
 type World struct {
 	day     Day
 	network *Network
-	store   *Store
+	store   *platform.StoreServer
 	server  *http.Server
 	nodes   []*node
 	logTo   io.Writer
@@ -120,7 +122,7 @@
 	w.mutex.Unlock()
 	t.end()
 	w.dropTarget(t)
-	w.after(crashNoticed, func() { w.store.Remove("servers/" + t.id) })
+	w.after(crashNoticed, func() { w.store.RemoveTarget(t.id) })
 	w.after(crashReplaced, func() { w.addTarget(t.service, "") })
 }
 
@@ -150,7 +152,7 @@
 // newWorld builds the fleet of a day and starts it.
 func newWorld(d Day, logTo io.Writer) *World {
 	w := &World{
-		day: d, network: NewNetwork(), store: newStore(), targets: make(map[string]*target), departures: make(map[string]time.Time), serviceOfTarget: make(map[string]string), domainOfTarget: make(map[string]string),
+		day: d, network: NewNetwork(), store: platform.NewStoreServer(), targets: make(map[string]*target), departures: make(map[string]time.Time), serviceOfTarget: make(map[string]string), domainOfTarget: make(map[string]string),
 		logTo: logTo, random: rand.New(rand.NewPCG(d.Seed, 2)),
 	}
 	w.server = &http.Server{Handler: w.store, ReadHeaderTimeout: time.Minute}
@@ -225,7 +227,7 @@
 	if err := t.start(); err != nil {
 		panic(err) // The generator reuses only free addresses.
 	}
-	w.store.Put("servers/"+t.id, t.entry("ready", 1), 0)
+	w.store.PutTarget(t.entry(false), 1)
 }
 
 func (w *World) dropTarget(t *target) {
@@ -262,36 +264,33 @@
 func (w *World) setConfig(byPath map[string]string, key bool) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	kinds := map[string]string{idempotentPath: "idempotent", orderPath: "non_idempotent", streamPath: "stream"}
-	var routes []map[string]any
+	kinds := map[string]site.Kind{idempotentPath: site.Idempotent, orderPath: site.NonIdempotent, streamPath: site.Stream}
+	c := site.Config{
+		Revision: int64(len(w.configs) + 1),
+		Limits:   site.Limits{HeaderBytes: 16384, BodyBytes: 100000, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
+		Accounts: []site.ClientAccount{{Name: "acme", Keys: []string{"key-of-another"}}},
+	}
 	for path, service := range byPath {
-		routes = append(routes, map[string]any{
-			"name": "r" + path, "host": routeHost, "prefix": path, "kind": kinds[path], "timeoutMs": routeTimeout.Milliseconds(), "sloMs": 300,
-			"priority": 1, "service": service, "attempts": 3, "public": false, "sticky": false, "resumable": path == streamPath,
+		c.Routes = append(c.Routes, site.Route{
+			Name: "r" + path, Host: routeHost, Prefix: path, Kind: kinds[path], Timeout: routeTimeout, LatencyTarget: latencyTarget,
+			Priority: 1, Backends: []site.Backend{{Service: service, Weight: 1}}, MaxAttempts: 3, Resumable: path == streamPath,
 		})
 	}
-	var list []map[string]any
 	for s := range services {
-		list = append(list, map[string]any{"name": fmt.Sprintf("svc-%d", s), "coldS": 0.0, "coldPerS": 0.0})
+		c.Services = append(c.Services, site.Service{Name: fmt.Sprintf("svc-%d", s)})
 	}
-	keys := []string{"key-of-another"}
 	if key {
-		keys = append(keys, clientKey)
-	}
-	data, err := json.Marshal(map[string]any{
-		"version": len(w.configs) + 1, "routes": routes, "services": list,
-		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 100000, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-		"tenants": []map[string]any{{"name": "acme", "apiKeys": keys, "priority": 1}},
-	})
-	if err != nil {
-		panic(err) // The map has only strings and numbers.
+		c.Accounts[0].Keys = append(c.Accounts[0].Keys, clientKey)
 	}
-	at := w.store.Put("op/config", data, 0)
+	at := w.store.PutConfig(c)
 	w.configs = append(w.configs, configChange{at: at, services: byPath, key: key})
 }
 
-// routeTimeout is that of all routes.
-const routeTimeout = 2 * time.Second
+// The timeout and the latency target of all routes.
+const (
+	routeTimeout  = 2 * time.Second
+	latencyTarget = 300 * time.Millisecond
+)
 
 // end ends everything.
 func (w *World) end() {
