news, platform: log the epoch of the store's history

After a restore of the store from a copy, its revisions are given out again, and the lines and metrics of a node did not show from which history its state comes: a late transfer of a configuration and a rejected read looked alike. The store states the number of its history with each response. It is now read, passed on with each part of the state (site.Position), logged when it rises and in the lines of changes, and a gauge (news_store_epoch) and a counter (news_store_epoch_changes_total) show it. Decisions are unchanged.

--- a/batch/service_test.go
+++ b/batch/service_test.go
@@ -85,7 +85,7 @@
 }
 
 func (e *serviceEnv) set(step serviceStep) {
-	d := site.Directory{Revision: step.Revision}
+	d := site.Directory{Position: site.Position{Revision: step.Revision}}
 	for _, id := range step.Targets {
 		d.Targets = append(d.Targets, site.Target{ID: id, Service: "svc", Address: "address-" + id, Domain: "domain-" + id})
 	}
--- a/news/fleet_test.go
+++ b/news/fleet_test.go
@@ -268,7 +268,7 @@
 func (e *readersEnv) directory() site.Directory {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	d := site.Directory{Revision: e.directoryRevision(), Targets: []site.Target{{ID: "one", Address: "1"}}}
+	d := site.Directory{Position: site.Position{Revision: e.directoryRevision()}, Targets: []site.Target{{ID: "one", Address: "1"}}}
 	for i := range e.targets {
 		d.Targets = append(d.Targets, site.Target{
 			ID: fmt.Sprintf("target-%d", i), Service: "service", Address: fmt.Sprintf("10.0.%d.%d:8080", i/250, i%250), Domain: "north", Version: "1", Slots: 4,
@@ -315,7 +315,7 @@
 		return OperatorState{}, fault.New(fault.Unavailable, fault.NotRun, "rejected by the store")
 	}
 	revision, _ := n.configRevision()
-	o := OperatorState{Config: n.env.config(revision), Revision: revision}
+	o := OperatorState{Config: n.env.config(revision), Position: site.Position{Revision: revision}}
 	text, err := json.Marshal(o.Config)
 	if err != nil {
 		return OperatorState{}, err
--- a/news/log.go
+++ b/news/log.go
@@ -14,6 +14,7 @@
 func (s *Service) registerGauges() {
 	s.Metrics.GetOrCreateGauge("news_directory_age_seconds", func() float64 { return s.TimeSinceStoreRead().Seconds() })
 	s.Metrics.GetOrCreateGauge("news_configuration_revision", func() float64 { return float64(s.Config().Revision) })
+	s.Metrics.GetOrCreateGauge("news_store_epoch", func() float64 { return float64(s.epoch()) })
 	s.Metrics.GetOrCreateGauge("news_operator_state_age_seconds", func() float64 { return s.OperatorStateAge().Seconds() })
 }
 
@@ -69,17 +70,24 @@
 // logChange logs what a merge has changed. From is "store" or the ID of the VM that
 // sent the state.
 func (s *Service) logChange(c Change, from string) {
+	if c.EpochBefore > 0 {
+		s.Metrics.GetOrCreateCounter("news_store_epoch_changes_total").Inc()
+		s.Log.WithFields(logrus.Fields{
+			"epoch_before": c.EpochBefore, "epoch": s.epoch(), "revision": s.Directory().Revision, "version": s.Config().Revision,
+			"from": from, "operator_age_ms": s.OperatorStateAge().Milliseconds(),
+		}).Warn("store has lost changes and is in a new epoch")
+	}
 	if c.Grace > 0 {
 		s.Metrics.GetOrCreateCounter("news_grace_periods_total").Inc()
 		s.Log.WithFields(logrus.Fields{"grace_ms": reregisterGrace.Milliseconds(), "silent_ms": c.Grace.Milliseconds(), "from": from}).Info("store is readable again; entries that expire are retained")
 	}
 	if c.Config {
 		config, age := s.Config(), s.OperatorStateAge() // The age before this change.
-		s.Log.WithFields(logrus.Fields{"version": config.Revision, "routes": len(config.Routes), "accounts": len(config.Accounts), "from": from, "operator_age_ms": age.Milliseconds()}).Info("configuration became active")
+		s.Log.WithFields(logrus.Fields{"version": config.Revision, "routes": len(config.Routes), "accounts": len(config.Accounts), "from": from, "epoch": s.epoch(), "operator_age_ms": age.Milliseconds()}).Info("configuration became active")
 	}
 	if c.DrainedDomains {
 		d := s.Directory()
-		s.Log.WithFields(logrus.Fields{"domains": slices.Sorted(maps.Keys(d.DrainedDomains)), "revision": d.Revision, "from": from}).Info("drained failure domains changed")
+		s.Log.WithFields(logrus.Fields{"domains": slices.Sorted(maps.Keys(d.DrainedDomains)), "revision": d.Revision, "epoch": d.Epoch, "from": from}).Info("drained failure domains changed")
 	}
 	if c.Rollouts {
 		rollouts := s.Rollouts()
@@ -91,7 +99,7 @@
 		}
 	}
 	if len(c.Added)+len(c.Removed) > 0 {
-		s.Log.WithFields(logrus.Fields{"joined": firstIDs(c.Added), "left": firstIDs(c.Removed), "revision": s.Directory().Revision, "from": from}).Info("targets changed")
+		s.Log.WithFields(logrus.Fields{"joined": firstIDs(c.Added), "left": firstIDs(c.Removed), "revision": s.Directory().Revision, "epoch": s.Directory().Epoch, "from": from}).Info("targets changed")
 	}
 }
 
--- a/news/operators.go
+++ b/news/operators.go
@@ -68,9 +68,9 @@
 	}
 	defer s.confirmOperatorState(sent, o.Revision)
 	s.mutex.Lock()
-	snapshot := Snapshot{Config: o.Config, DrainedDomains: &DrainedDomains{Domains: o.DrainedDomains, Revision: o.Revision}}
+	snapshot := Snapshot{Config: o.Config, DrainedDomains: &DrainedDomains{Domains: o.DrainedDomains, Position: o.Position}}
 	if o.RolloutsRead {
-		snapshot.Rollouts = &Rollouts{Rollouts: o.Rollouts, Revision: o.Revision}
+		snapshot.Rollouts = &Rollouts{Rollouts: o.Rollouts, Position: o.Position}
 	}
 	change := s.state.Apply(snapshot)
 	s.mutex.Unlock()
--- a/news/random_test.go
+++ b/news/random_test.go
@@ -96,13 +96,13 @@
 // snapshot returns the content of the store at a revision.
 func (e *stateEnv) snapshot(revision int) Snapshot {
 	s := e.history[revision]
-	d := site.Directory{Revision: int64(revision + 1)}
+	d := site.Directory{Position: site.Position{Revision: int64(revision + 1)}}
 	for _, n := range s.targets {
 		d.Targets = append(d.Targets, site.Target{ID: n, Service: "svc", Address: n, Domain: "d" + string(n[1]%3+'0')})
 	}
 	return Snapshot{
 		Config: site.NewConfig(site.Config{Revision: s.configRevision}), Directory: site.NewDirectory(d),
-		DrainedDomains: &DrainedDomains{Domains: s.drained, Revision: int64(revision + 1)},
+		DrainedDomains: &DrainedDomains{Domains: s.drained, Position: site.Position{Revision: int64(revision + 1)}},
 	}
 }
 
--- a/news/rollouts.go
+++ b/news/rollouts.go
@@ -8,8 +8,8 @@
 
 // Rollouts are the rollouts that operators have ordered, with their recorded states.
 type Rollouts struct {
-	Rollouts []site.Rollout `json:"rollouts"`
-	Revision int64          `json:"revision"` // Revision of the store at which the orders were read.
+	Rollouts      []site.Rollout `json:"rollouts"`
+	site.Position                // At which the orders were read from the store.
 }
 
 // Rollouts returns the rollouts. The caller must not modify the slice.
@@ -31,7 +31,7 @@
 	for _, order := range r.Rollouts {
 		merged = append(merged, latestState(order, before))
 	}
-	s.rollouts = &Rollouts{Rollouts: merged, Revision: r.Revision}
+	s.rollouts = &Rollouts{Rollouts: merged, Position: r.Position}
 	return !slices.Equal(before, merged)
 }
 
--- a/news/rollouts_test.go
+++ b/news/rollouts_test.go
@@ -61,7 +61,7 @@
 				t.Fatal(err)
 			}
 		} else {
-			n.state.Apply(Snapshot{Rollouts: &Rollouts{Rollouts: s.Rollouts, Revision: s.Revision}})
+			n.state.Apply(Snapshot{Rollouts: &Rollouts{Rollouts: s.Rollouts, Position: site.Position{Revision: s.Revision}}})
 		}
 		var got []string
 		for _, r := range n.Rollouts() {
--- a/news/service.go
+++ b/news/service.go
@@ -73,8 +73,8 @@
 	Config         site.Config
 	DrainedDomains []string
 	Rollouts       []site.Rollout
-	RolloutsRead   bool  // Otherwise Rollouts says nothing.
-	Revision       int64 // Revision of the store.
+	RolloutsRead   bool // Otherwise Rollouts says nothing.
+	site.Position       // Of the store.
 }
 
 // PeerCaller calls methods of other nodes.
@@ -190,6 +190,13 @@
 	return s.state.Rollouts()
 }
 
+// epoch returns the latest epoch of the store that is known, zero if there is none.
+func (s *Service) epoch() int64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.state.Epoch()
+}
+
 // AsOf returns the latest times at which the store is known to have held the operator
 // state and the directory of this node. They may be zero.
 func (s *Service) AsOf() (operatorState, directory time.Time) {
--- a/news/state.go
+++ b/news/state.go
@@ -21,8 +21,8 @@
 // DrainedDomains are the failure domains that operators have drained: their
 // targets accept no new work.
 type DrainedDomains struct {
-	Domains  []string `json:"domains"`
-	Revision int64    `json:"revision"` // Revision of the store at which they were read.
+	Domains       []string `json:"domains"`
+	site.Position          // At which they were read from the store.
 }
 
 // Snapshot is the state of the store or of another node at one moment. Parts
@@ -43,14 +43,15 @@
 // directoryVersion identifies what a directory lists. The zero value stands for
 // none.
 type directoryVersion struct {
-	Revision int64  `json:"revision"`
-	Hash     uint64 `json:"hash"` // Of its targets.
-	Cold     bool   `json:"cold"` // Some are warming up; the hash does not tell until when.
+	site.Position
+	Hash uint64 `json:"hash"` // Of its targets.
+	Cold bool   `json:"cold"` // Some are warming up; the hash does not tell until when.
 }
 
 // State merges snapshots. The zero value has no configuration and no directory.
 // It is not safe for concurrent use.
 type State struct {
+	epoch     int64 // The latest epoch of the store that is known.
 	config    site.Config
 	directory site.Directory
 	// registered is the directory as last applied, from the store or from
@@ -71,7 +72,10 @@
 
 // Change says what a merge has changed.
 type Change struct {
-	Config bool
+	// EpochBefore is the epoch that was known before if a later one became known;
+	// otherwise zero.
+	EpochBefore int64
+	Config      bool
 	// Directory means that a directory or drained failure domains were applied. The
 	// active directory may be unchanged.
 	Directory      bool
@@ -93,7 +97,7 @@
 // Apply merges a snapshot of the store or of another node: the parts that are not
 // older than the present ones. A configuration must be newer.
 func (s *State) Apply(sn Snapshot) Change {
-	c := Change{Grace: s.recordRead(sn)}
+	c := Change{Grace: s.recordRead(sn), EpochBefore: s.observeEpoch(sn)}
 	if sn.Config.Loaded() && (!s.config.Loaded() || sn.Config.Revision > s.config.Revision) {
 		s.config = sn.Config
 		c.Config = true
@@ -118,6 +122,32 @@
 	return c
 }
 
+// observeEpoch records the epoch of a snapshot. It returns the one that was known before
+// if that of the snapshot is later, zero otherwise.
+func (s *State) observeEpoch(sn Snapshot) int64 {
+	before := s.epoch
+	s.epoch = max(s.epoch, sn.epoch())
+	if s.epoch == before {
+		return 0
+	}
+	return before
+}
+
+// epoch returns the latest epoch of the parts of the snapshot.
+func (sn Snapshot) epoch() int64 {
+	epoch := max(sn.Directory.Epoch, sn.Unchanged.Epoch)
+	if sn.DrainedDomains != nil {
+		epoch = max(epoch, sn.DrainedDomains.Epoch)
+	}
+	if sn.Rollouts != nil {
+		epoch = max(epoch, sn.Rollouts.Epoch)
+	}
+	return epoch
+}
+
+// Epoch returns the latest epoch of the store that is known, zero if there is none.
+func (s *State) Epoch() int64 { return s.epoch }
+
 // confirmRegistered records the read of the store in a snapshot that was just merged.
 // It reports whether that may end the grace period.
 func (s *State) confirmRegistered(sn Snapshot) bool {
@@ -232,7 +262,7 @@
 	if !s.registered.Loaded() {
 		return directoryVersion{}
 	}
-	return directoryVersion{Revision: s.registered.Revision, Hash: s.registeredHash, Cold: s.registered.AnyCold(now)}
+	return directoryVersion{Position: s.registered.Position, Hash: s.registeredHash, Cold: s.registered.AnyCold(now)}
 }
 
 // revisions returns the revisions that the state has.
--- a/news/state_test.go
+++ b/news/state_test.go
@@ -83,10 +83,10 @@
 		sn.Config = site.NewConfig(site.Config{Revision: p.ConfigRevision})
 	}
 	if p.DrainedRevision > 0 {
-		sn.DrainedDomains = &news.DrainedDomains{Domains: p.DrainedDomains, Revision: p.DrainedRevision}
+		sn.DrainedDomains = &news.DrainedDomains{Domains: p.DrainedDomains, Position: site.Position{Revision: p.DrainedRevision}}
 	}
 	if p.DirectoryRevision > 0 {
-		d := site.Directory{Revision: p.DirectoryRevision}
+		d := site.Directory{Position: site.Position{Revision: p.DirectoryRevision}}
 		for _, text := range p.Targets {
 			id, domain, _ := strings.Cut(text, "@")
 			d.Targets = append(d.Targets, site.Target{ID: id, Service: "svc", Domain: domain, Address: id})
--- a/node/routes.go
+++ b/node/routes.go
@@ -245,7 +245,7 @@
 // siteDirectory converts the targets of a configuration and the failure domains
 // that are not in service.
 func siteDirectory(config note.Config) site.Directory {
-	d := site.Directory{Revision: config.Revision, DrainedDomains: make(map[string]bool)}
+	d := site.Directory{Position: site.Position{Revision: config.Revision}, DrainedDomains: make(map[string]bool)}
 	for name, f := range config.Sections.Domains {
 		if f.State != note.InService {
 			d.DrainedDomains[name] = true
--- a/relay/move_test.go
+++ b/relay/move_test.go
@@ -121,7 +121,7 @@
 }
 
 func (c moveCase) server(mover Mover) *Server {
-	directory := site.NewDirectory(site.Directory{Revision: 1, Targets: []site.Target{
+	directory := site.NewDirectory(site.Directory{Position: site.Position{Revision: 1}, Targets: []site.Target{
 		{ID: "old", Service: "svc", Address: "10.0.0.1:1", Slots: 8, Version: "v1"},
 		{ID: "old2", Service: "svc", Address: "10.0.0.2:1", Slots: 8, Version: "v1"},
 		{ID: "new", Service: "svc", Address: "10.0.0.3:1", Slots: 8, Version: "v2"},
--- a/relay/speed_test.go
+++ b/relay/speed_test.go
@@ -76,7 +76,7 @@
 		for _, id := range []string{"a", "b", "c"} {
 			targets = append(targets, site.Target{ID: id, Service: "svc", Address: id, Slots: 8})
 		}
-		directory := site.NewDirectory(site.Directory{Revision: 1, Targets: targets})
+		directory := site.NewDirectory(site.Directory{Position: site.Position{Revision: 1}, Targets: targets})
 		var announced []TargetSpeed
 		s := &Server{
 			Self: "vm", Names: DefaultHeaderNames(), Clock: ports.SystemClock{}, Random: ports.NewSeededRandom(1), Log: logrus.NewEntry(logrus.New()),
--- a/site/directory.go
+++ b/site/directory.go
@@ -27,7 +27,7 @@
 // Directory lists the targets and the drained failure domains. Values are
 // made by [NewDirectory], which builds the indexes for lookups.
 type Directory struct {
-	Revision       int64           `json:"revision"` // Store revision at which it was read.
+	Position                       // At which it was read from the store.
 	Targets        []Target        `json:"targets"`
 	DrainedDomains map[string]bool `json:"departed,omitempty"` // Failure domains that get no new work.
 
--- /dev/null
+++ b/site/position.go
@@ -0,0 +1,12 @@
+package site
+
+// Position is a point in the history of the store.
+type Position struct {
+	// Epoch is the number of the history. It rises when the store comes back from a
+	// copy that lacks changes which it had acknowledged. Zero means that the store does
+	// not state it.
+	Epoch int64 `json:"epoch,omitempty"`
+	// Revision is the number of the change within the epoch. A new epoch gives out
+	// revisions again that the one before had given out.
+	Revision int64 `json:"revision"`
+}
--- a/wire/client.go
+++ b/wire/client.go
@@ -64,6 +64,9 @@
 	NewConnection bool
 	// MaxBodyBytes bounds the body of the response in [Client.DoJSON]; zero means 4 MiB.
 	MaxBodyBytes int
+	// OnHeaders is called by [Client.DoJSON] with the header fields of the response,
+	// whatever its status; may be nil.
+	OnHeaders func(Headers)
 	// HeaderTimeout bounds the time until the header of the response is complete;
 	// zero means that only the context does.
 	HeaderTimeout time.Duration
--- a/wire/json.go
+++ b/wire/json.go
@@ -48,6 +48,9 @@
 		return err
 	}
 	defer response.Close()
+	if call.OnHeaders != nil {
+		call.OnHeaders(response.Headers)
+	}
 	body := Body{Budget: c.budget(call), Limit: cmp.Or(call.MaxBodyBytes, maxJSONBytes)}
 	defer body.Release()
 	if err := body.ReadAll(response.Body); err != nil {
