platform, fleet: failing tests of a store that comes back from a copy

The stand-in of the store can be restored from a copy: it begins a new epoch, states it in each response, gives revisions and leases out again, answers a watch from a revision that it does not have with 410 and cuts those that wait.

--- a/fleet/day.go
+++ b/fleet/day.go
@@ -45,6 +45,9 @@
 	SilenceDomain Kind = "silence_domain" // The same for all nodes of a failure domain.
 	ResetNode     Kind = "reset_node"     // Its connections are reset.
 	StoreMoment   Kind = "store"          // The store is in the mode Detail for ForMS.
+	// RestoreStore is a restore of the store: it goes away after ForMS and comes back with
+	// what it holds now.
+	RestoreStore  Kind = "restore_store"
 	TargetLeaves  Kind = "target_leaves"  // It reports that it drains, and ends later.
 	TargetRemoved Kind = "target_removed" // Its entry is removed, and it ends later.
 	TargetSays    Kind = "target_says"    // It says in its responses that it leaves, and drains later.
@@ -79,9 +82,31 @@
 		}
 		d.Events = append(d.Events, randomEvent(r, d, at))
 	}
+	d.Events = append(d.Events, restoreEvents(seed, span)...)
 	return d
 }
 
+// restoreShare is the number of days, of 100, in which the store is restored from a copy.
+const restoreShare = 30
+
+// restoreEvents returns a restore of the store in restoreShare of the days, within a span in
+// milliseconds, and changes that it undoes. They are drawn apart from the other events, which
+// stay the same for a seed.
+func restoreEvents(seed uint64, span int) []Event {
+	r := rand.New(rand.NewPCG(seed, 4))
+	if r.IntN(100) >= restoreShare {
+		return nil
+	}
+	e := Event{AtMS: int(settleTime.Milliseconds()) + r.IntN(span), Kind: RestoreStore, ForMS: 500 + r.IntN(4500)}
+	events := []Event{e}
+	for range r.IntN(12) {
+		kinds := []Kind{MoveRoute, MoveRoute, DrainDomain, TargetLeaves, TargetRemoved}
+		undone := Event{AtMS: e.AtMS + r.IntN(e.ForMS), Kind: kinds[r.IntN(len(kinds))], Node: r.IntN(100), Other: r.IntN(100), ForMS: 300 + r.IntN(5000)}
+		events = append(events, undone)
+	}
+	return events
+}
+
 // pickSize returns a number of nodes. With more than eight, not all read the store.
 func pickSize(r *rand.Rand) int {
 	sizes := []int{3, 5, 8, 10, 12, 12, 16}
--- a/fleet/judge.go
+++ b/fleet/judge.go
@@ -64,16 +64,17 @@
 		j.report("unknown_request", "%s runs %s %s %q", r.Target, r.ID, r.Path, r.Body)
 		return
 	}
-	if d := j.departures[r.Target]; !d.IsZero() && q.Sent.After(d.Add(drainBound)) && !j.impaired(r.Node, q.Sent) {
+	demanded := j.demandedUntil(r.Node, q.Sent)
+	if d := j.departures[r.Target]; !d.IsZero() && demanded.After(d.Add(drainBound)) {
 		j.report("departed_target", "%s, sent to %s %s after the departure, reaches %s", r.ID, q.Node, q.Sent.Sub(d), r.Target)
 	}
 	j.checkLeaving(r, q)
 	for _, e := range j.drained {
-		if e.domain == j.domainOfTarget[r.Target] && q.Sent.After(e.from.Add(drainDomainBound)) && r.At.Before(e.to) && !j.impaired(r.Node, q.Sent) {
+		if e.domain == j.domainOfTarget[r.Target] && demanded.After(e.from.Add(drainDomainBound)) && r.At.Before(e.to) {
 			j.report("drained_domain", "%s, sent %s after %s was drained, runs at %s", r.ID, q.Sent.Sub(e.from), e.domain, r.Target)
 		}
 	}
-	if !j.impaired(r.Node, q.Sent) && !j.allows(q, func(c configChange) bool { return j.leadsTo(c, r) }) {
+	if !demanded.IsZero() && !j.allows(q, demanded, func(c configChange) bool { return j.leadsTo(c, r) }) {
 		j.report("old_configuration", "%s, sent %s, runs at %s, as only an old configuration says", r.ID, q.Sent.Sub(j.started), r.Target)
 	}
 }
@@ -128,10 +129,10 @@
 func prefixOf(path string) string { return path[:strings.LastIndex(path, "/")+1] }
 
 // allows reports whether a version of the configuration that may be in force for a
-// request has a property: one that was written from applyBound before it on.
-func (j judgement) allows(q *Request, property func(configChange) bool) bool {
+// request has a property: one that was written from applyBound before the given time on.
+func (j judgement) allows(q *Request, demanded time.Time, property func(configChange) bool) bool {
 	for i, c := range j.configs {
-		replaced := i+1 < len(j.configs) && j.configs[i+1].at.Add(applyBound).Before(q.Sent)
+		replaced := i+1 < len(j.configs) && j.configs[i+1].at.Add(applyBound).Before(demanded)
 		if !replaced && !c.at.After(q.Ended) && property(c) {
 			return true
 		}
@@ -191,7 +192,8 @@
 // keyAlways reports whether the clients' key was valid in all versions that may have
 // been in force.
 func (j judgement) keyAlways(q *Request) bool {
-	return !j.allows(q, func(c configChange) bool { return !c.key }) && !j.impaired(q.Node, q.Sent)
+	demanded := j.demandedUntil(q.Node, q.Sent)
+	return !demanded.IsZero() && !j.allows(q, demanded, func(c configChange) bool { return !c.key })
 }
 
 // impaired reports whether a node was cut off, its process had just started or the store
--- a/fleet/run.go
+++ b/fleet/run.go
@@ -84,13 +84,8 @@
 	case StoreMoment:
 		w.store.SetMode(platform.StoreMode(e.Detail))
 		w.after(lasting, func() { w.store.SetMode(platform.StoreUp) })
-	case MoveRoute:
-		w.moveRoute([]string{idempotentPath, orderPath, streamPath}[e.Other%3])
-	case WithdrawKey:
-		w.setConfig(w.lastConfig().services, false)
-		w.after(lasting, func() { w.setConfig(w.lastConfig().services, true) })
-	case DrainDomain:
-		w.drainDomain(fmt.Sprintf("z%d", e.Other%domainCount), drainDomainBound+lasting)
+	case RestoreStore, MoveRoute, WithdrawKey, DrainDomain:
+		w.applyStore(e, lasting)
 	case CrashRequest:
 		w.after(0, func() { w.sendCrashes(e, lasting) })
 	case OddEntry:
@@ -102,6 +97,23 @@
 	}
 }
 
+// applyStore begins an event in which an operator writes to the store, or in which the store
+// loses what was written.
+func (w *World) applyStore(e Event, lasting time.Duration) {
+	switch e.Kind {
+	case RestoreStore:
+		held := w.store.Copy()
+		w.after(lasting, func() { w.restoreStore(held) })
+	case MoveRoute:
+		w.moveRoute([]string{idempotentPath, orderPath, streamPath}[e.Other%3])
+	case WithdrawKey:
+		w.setConfig(w.lastConfig().services, false)
+		w.after(lasting, func() { w.setConfig(w.lastConfig().services, true) })
+	case DrainDomain:
+		w.drainDomain(fmt.Sprintf("z%d", e.Other%domainCount), drainDomainBound+lasting)
+	}
+}
+
 // applyTarget begins an event of a target.
 func (w *World) applyTarget(e Event, t *target, lasting time.Duration) {
 	switch e.Kind {
--- a/news/fetch.go
+++ b/news/fetch.go
@@ -39,7 +39,7 @@
 		return update{}, err
 	}
 	if u.OperatorAge < maxAge {
-		s.confirmOperatorState(sent.Add(-u.OperatorAge), u.OperatorRevision)
+		s.confirmOperatorState(sent.Add(-u.OperatorAge), site.Position{Epoch: u.OperatorEpoch, Revision: u.OperatorRevision})
 	}
 	return u, nil
 }
@@ -121,7 +121,7 @@
 	defer s.mutex.Unlock()
 	now := s.Clock.Now()
 	directoryAge, operatorAge := s.ages(now)
-	u := update{Now: now, Age: directoryAge, OperatorAge: operatorAge, OperatorRevision: s.operatorRevision, GraceRemaining: s.state.GraceRemaining(now)}
+	u := update{Now: now, Age: directoryAge, OperatorAge: operatorAge, OperatorRevision: s.operatorPosition.Revision, OperatorEpoch: s.operatorPosition.Epoch, GraceRemaining: s.state.GraceRemaining(now)}
 	if c := s.state.Config(); c.Loaded() {
 		u.ConfigRevision = c.Revision
 	}
--- a/news/fleet_test.go
+++ b/news/fleet_test.go
@@ -344,7 +344,8 @@
 }
 
 // WaitForChange waits until the configuration changes after a revision.
-func (n *readersNode) WaitForChange(ctx context.Context, revision int64, wait time.Duration) (bool, error) {
+func (n *readersNode) WaitForChange(ctx context.Context, after site.Position, wait time.Duration) (bool, error) {
+	revision := after.Revision
 	if err := n.callStore(); err != nil {
 		return false, err
 	}
--- a/news/operators.go
+++ b/news/operators.go
@@ -3,30 +3,32 @@
 import (
 	"context"
 	"time"
+
+	"bergamotworks/site"
 )
 
 // loopOperatorState reads and watches what operators write while this VM reads
 // the store itself.
 func (s *Service) loopOperatorState(ctx context.Context) error {
-	var revision int64 // Zero if the operator state must be read.
+	var position site.Position // Zero if the operator state must be read.
 	var readAt time.Time
 	for ctx.Err() == nil {
 		if !s.readsStore() {
-			revision = 0
+			position = site.Position{}
 			if !s.sleep(ctx, maxFetchInterval) {
 				return nil
 			}
 			continue
 		}
-		if revision != 0 && s.Clock.Now().Sub(readAt) < operatorReadInterval {
-			if !s.watchUnchanged(ctx, revision) {
-				revision = 0
+		if position.Revision != 0 && s.Clock.Now().Sub(readAt) < operatorReadInterval {
+			if !s.watchUnchanged(ctx, position) {
+				position = site.Position{}
 			}
 			continue
 		}
 		var err error
 		readAt = s.Clock.Now()
-		if revision, err = s.readOperatorState(ctx); err == nil {
+		if position, err = s.readOperatorState(ctx); err == nil {
 			continue
 		}
 		s.fetchFromPeers(ctx)
@@ -38,35 +40,35 @@
 }
 
 // watchUnchanged watches the operator state for watchWait and reports whether it
-// is known to be the same as at a revision of the store.
-func (s *Service) watchUnchanged(ctx context.Context, revision int64) bool {
+// is known to be the same as at a position of the store.
+func (s *Service) watchUnchanged(ctx context.Context, position site.Position) bool {
 	callCtx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
 	defer cancel()
 	sent := s.Clock.Now()
-	changed, err := s.Source.WaitForChange(callCtx, revision, watchWait)
+	changed, err := s.Source.WaitForChange(callCtx, position, watchWait)
 	took := s.Clock.Now().Sub(sent)
 	if err != nil {
 		s.recordWatchError(ctx, took, err)
 		return false
 	}
 	if !changed && took >= watchWait {
-		s.confirmOperatorState(sent.Add(watchWait), revision)
+		s.confirmOperatorState(sent.Add(watchWait), position)
 	}
 	return !changed
 }
 
-// readOperatorState reads the operator state and returns the store's revision,
+// readOperatorState reads the operator state and returns the store's position,
 // zero if the read fails.
-func (s *Service) readOperatorState(ctx context.Context) (int64, error) {
+func (s *Service) readOperatorState(ctx context.Context) (site.Position, error) {
 	callCtx, cancel := context.WithTimeout(ctx, operatorReadTimeout)
 	defer cancel()
 	sent := s.Clock.Now()
 	o, err := s.Source.OperatorState(callCtx)
 	if err != nil {
 		s.recordReadError(ctx, "configuration", err)
-		return 0, err
+		return site.Position{}, err
 	}
-	defer s.confirmOperatorState(sent, o.Revision)
+	defer s.confirmOperatorState(sent, o.Position)
 	s.mutex.Lock()
 	snapshot := Snapshot{Config: o.Config, DrainedDomains: &DrainedDomains{Domains: o.DrainedDomains, Position: o.Position}}
 	if o.RolloutsRead {
@@ -75,28 +77,28 @@
 	change := s.state.Apply(snapshot)
 	s.mutex.Unlock()
 	s.logChange(change, "store")
-	return o.Revision, nil
+	return o.Position, nil
 }
 
 // checkUnchanged reports whether the store still holds the operator state of this
 // node. That costs little, where a read transfers the whole configuration.
 func (s *Service) checkUnchanged(ctx context.Context) (bool, error) {
 	s.mutex.Lock()
-	revision := s.operatorRevision
+	position := s.operatorPosition
 	s.mutex.Unlock()
-	if revision == 0 {
+	if position.Revision == 0 {
 		return false, nil
 	}
 	callCtx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	sent := s.Clock.Now()
-	changed, err := s.Source.WaitForChange(callCtx, revision, minWatchWait)
+	changed, err := s.Source.WaitForChange(callCtx, position, minWatchWait)
 	if err != nil {
 		s.recordWatchError(ctx, s.Clock.Now().Sub(sent), err)
 		return false, err
 	}
 	if !changed {
-		s.confirmOperatorState(sent, revision)
+		s.confirmOperatorState(sent, position)
 	}
 	return !changed, nil
 }
@@ -119,12 +121,14 @@
 }
 
 // confirmOperatorState records that the store held the operator state of this
-// node, or an older one, at the given time and at a revision of the store.
-func (s *Service) confirmOperatorState(asOf time.Time, revision int64) {
+// node, or an older one, at the given time and at a position of the store.
+func (s *Service) confirmOperatorState(asOf time.Time, position site.Position) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if asOf.After(s.operatorsAsOf) {
 		s.operatorsAsOf = asOf
 	}
-	s.operatorRevision = max(s.operatorRevision, revision)
+	if position.Revision > s.operatorPosition.Revision {
+		s.operatorPosition = position
+	}
 }
--- a/news/service.go
+++ b/news/service.go
@@ -62,10 +62,10 @@
 	// the store does not begin to respond.
 	OperatorState(ctx context.Context) (OperatorState, error)
 	// WaitForChange reports whether the configuration, the drained failure domains or
-	// the orders of rollouts have changed, or may have changed, after a revision. It returns at
+	// the orders of rollouts have changed, or may have changed, after a position. It returns at
 	// a change or when wait has passed, and fails if the store has not responded
 	// when the context ends.
-	WaitForChange(ctx context.Context, revision int64, wait time.Duration) (changed bool, err error)
+	WaitForChange(ctx context.Context, after site.Position, wait time.Duration) (changed bool, err error)
 }
 
 // OperatorState is what operators have written to the store.
@@ -100,9 +100,9 @@
 	// operatorsAsOf is the latest time at which the store is known to have held
 	// the operator state of this node. It may be zero.
 	operatorsAsOf time.Time
-	// operatorRevision is the latest revision of the store of which that is known;
-	// zero if there is none.
-	operatorRevision int64
+	// operatorPosition is the latest position of the store of which that is known; its
+	// revision is zero if there is none.
+	operatorPosition site.Position
 	pauses           pauseDetector
 	reports          []report // Of newer revisions, oldest first.
 	encodedConfig    encodedCache
@@ -148,8 +148,10 @@
 	// OperatorAge is the time since the store is known to have held the sender's
 	// operator state.
 	OperatorAge time.Duration `json:"operator_age_ns"`
-	// OperatorRevision is the latest revision of the store of which that is known.
+	// OperatorRevision and OperatorEpoch are the latest position of the store of which
+	// that is known.
 	OperatorRevision int64 `json:"operator_revision"`
+	OperatorEpoch    int64 `json:"operator_epoch,omitempty"`
 	// GraceRemaining is how long the sender still retains expired entries. VMs of
 	// earlier versions then retain theirs as long; others if they know of an outage.
 	GraceRemaining time.Duration `json:"keep_ns,omitempty"`
