news: a later epoch of the store prevails, whatever its revision

Callers' requests reached targets that had left and failure domains that were drained, and new targets got none, for as long as a restored store was behind the revision that nodes had read: whatever it held counted as old.

Directories, drained domains, rollouts and confirmations are ordered by position: the epoch first, then the revision. Nodes learn of a new epoch at different times; the later one prevails wherever two of them meet. The copy lacks what was written since, so that a node lets what it knows count beside it for a while: targets that registered and domains that were drained are kept for the grace period that an outage has, and targets that had left get no work for 6 s though the copy lists them, unless they have started again. Encoded directories and what is pruned by a directory go by position, too. VMs of earlier versions, and stores that state no epoch, count as of the current one.

--- a/batch/service_test.go
+++ b/batch/service_test.go
@@ -99,7 +99,7 @@
 	}
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	e.directory = site.NewDirectory(d).WithDrainedDomains(drained, step.Revision)
+	e.directory = site.NewDirectory(d).WithDrainedDomains(drained, site.Position{Revision: step.Revision})
 	e.config = site.NewConfig(site.Config{Services: []site.Service{{
 		Name: "svc", Batch: &site.BatchLimits{Slots: 1, Size: size, CallTime: time.Millisecond, ResultCapacityBytes: 1 << 20, Retention: time.Minute},
 	}}})
--- a/batch/silent_test.go
+++ b/batch/silent_test.go
@@ -102,7 +102,7 @@
 	f := &silentFleet{
 		setup: c, began: time.Now(), view: viewOf(c.VMs), services: make(map[string]*Service),
 		config:    site.NewConfig(site.Config{Services: []site.Service{{Name: "svc", Batch: limits}}}),
-		directory: site.NewDirectory(site.Directory{Position: site.Position{Revision: 1}, Targets: targetsAt(c.Targets)}).WithDrainedDomains(nil, 1),
+		directory: site.NewDirectory(site.Directory{Position: site.Position{Revision: 1}, Targets: targetsAt(c.Targets)}).WithDrainedDomains(nil, site.Position{Revision: 1}),
 	}
 	l := newLayout(f.view, "svc", f.directory.Usable("svc"))
 	most := 0
--- a/news/fetch.go
+++ b/news/fetch.go
@@ -64,8 +64,8 @@
 	if u.ConfigRevision == 0 {
 		u.OperatorAge = maxAge // A VM of an earlier version does not state it.
 	}
-	if u.DirectoryVersion.Revision > local.DirectoryRevision && s.lacks(u.DirectoryVersion) {
-		if err := s.fetchDirectory(ctx, vm, readAt); err != nil {
+	if s.lacks(u.DirectoryVersion) {
+		if err := s.fetchDirectory(ctx, vm, readAt, u.GraceRemaining); err != nil {
 			return update{}, err
 		}
 	}
@@ -77,12 +77,12 @@
 	return u, nil
 }
 
-// lacks reports whether the targets of another node's directory differ from those
-// of this one.
+// lacks reports whether another node's directory is later than that of this one and has
+// other targets.
 func (s *Service) lacks(v directoryVersion) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return !s.state.matches(v)
+	return s.state.lacks(v)
 }
 
 // readAt returns the time of the read of the store from which the state of another
@@ -97,7 +97,7 @@
 
 // apply merges the update of another node, which has read the store at readAt.
 func (s *Service) apply(vm string, u update, readAt time.Time) {
-	sn := Snapshot{DrainedDomains: u.DrainedDomains, Rollouts: u.Rollouts, Unchanged: u.DirectoryVersion, ReadAt: readAt}
+	sn := Snapshot{DrainedDomains: u.DrainedDomains, Rollouts: u.Rollouts, Unchanged: u.DirectoryVersion, ReadAt: readAt, AppliedAt: s.Clock.Now()}
 	if u.Config != nil {
 		sn.Config = site.NewConfig(*u.Config)
 	}
@@ -105,7 +105,7 @@
 		sn.Directory = shiftTimes(*u.Directory, s.Clock.Now().Sub(u.Now))
 	}
 	if u.GraceRemaining > 0 {
-		sn.GraceEnd = s.Clock.Now().Add(u.GraceRemaining)
+		sn.GraceEnd = sn.AppliedAt.Add(u.GraceRemaining)
 	}
 	s.mutex.Lock()
 	change := s.state.Apply(sn)
@@ -126,10 +126,10 @@
 		u.ConfigRevision = c.Revision
 	}
 	u.DirectoryVersion = s.state.directoryVersion(now)
-	if d := s.state.drained; d != nil && d.Revision > remote.DrainedDomainsRevision {
+	if d := s.state.drained; d != nil && d.After(site.Position{Epoch: remote.DrainedDomainsEpoch, Revision: remote.DrainedDomainsRevision}) {
 		u.DrainedDomains = d
 	}
-	u.Rollouts = s.state.newerRollouts(remote.RolloutsRevision)
+	u.Rollouts = s.state.newerRollouts(site.Position{Epoch: remote.RolloutsEpoch, Revision: remote.RolloutsRevision})
 	if !remote.Transfers {
 		s.addInline(&u, remote)
 	}
--- a/news/fleet_test.go
+++ b/news/fleet_test.go
@@ -385,7 +385,7 @@
 	if other.dead.Load() {
 		return fault.New(fault.Unavailable, fault.NotRun, "no connection to %s", vm)
 	}
-	data, err := other.handle(ctx, method, params)
+	data, err := handlePeerCall(ctx, other.service, method, params)
 	if err != nil {
 		return err
 	}
@@ -399,14 +399,15 @@
 	return json.Unmarshal(text, result)
 }
 
-func (n *readersNode) handle(ctx context.Context, method string, params any) (any, error) {
+// handlePeerCall passes a call of another node to a service.
+func handlePeerCall(ctx context.Context, s *Service, method string, params any) (any, error) {
 	switch method {
 	case MethodFetchConfig:
-		return n.service.HandleFetchConfig(ctx, params.(configRequest))
+		return s.HandleFetchConfig(ctx, params.(configRequest))
 	case MethodFetchDirectory:
-		return n.service.HandleFetchDirectory(ctx, params.(directoryRequest))
+		return s.HandleFetchDirectory(ctx, params.(directoryRequest))
 	}
-	return n.service.HandleFetch(ctx, params.(revisions))
+	return s.HandleFetch(ctx, params.(revisions))
 }
 
 // receive waits until a number of bytes has arrived on the node's link, behind all
--- a/news/log.go
+++ b/news/log.go
@@ -74,7 +74,7 @@
 		s.Metrics.GetOrCreateCounter("news_store_epoch_changes_total").Inc()
 		s.Log.WithFields(logrus.Fields{
 			"epoch_before": c.EpochBefore, "epoch": s.epoch(), "revision": s.Directory().Revision, "version": s.Config().Revision,
-			"from": from, "operator_age_ms": s.OperatorStateAge().Milliseconds(),
+			"held": c.Held, "from": from, "operator_age_ms": s.OperatorStateAge().Milliseconds(),
 		}).Warn("store has lost changes and is in a new epoch")
 	}
 	if c.Grace > 0 {
--- a/news/operators.go
+++ b/news/operators.go
@@ -70,7 +70,7 @@
 	}
 	defer s.confirmOperatorState(sent, o.Position)
 	s.mutex.Lock()
-	snapshot := Snapshot{Config: o.Config, DrainedDomains: &DrainedDomains{Domains: o.DrainedDomains, Position: o.Position}}
+	snapshot := Snapshot{Config: o.Config, DrainedDomains: &DrainedDomains{Domains: o.DrainedDomains, Position: o.Position}, AppliedAt: s.Clock.Now()}
 	if o.RolloutsRead {
 		snapshot.Rollouts = &Rollouts{Rollouts: o.Rollouts, Position: o.Position}
 	}
@@ -128,7 +128,7 @@
 	if asOf.After(s.operatorsAsOf) {
 		s.operatorsAsOf = asOf
 	}
-	if position.Revision > s.operatorPosition.Revision {
+	if position.After(s.operatorPosition) {
 		s.operatorPosition = position
 	}
 }
--- a/news/random_test.go
+++ b/news/random_test.go
@@ -13,8 +13,8 @@
 
 const randomNodeCount = 4
 
-// TestRandomState makes nodes read a store, late or not at all, and send each
-// other their state, in random order. No node may go back to an older
+// TestRandomState makes nodes read a store that is restored from copies, late or not at
+// all, and send each other their state, in random order. No node may go back to an older
 // configuration, directory or list of drained failure domains, or use a target
 // after its removal, and in the end all nodes agree.
 func TestRandomState(t *testing.T) {
@@ -23,7 +23,7 @@
 		for range rapid.IntRange(1, 80).Draw(t, "steps") {
 			e.now = e.now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "pause_ms")) * time.Millisecond)
 			node := rapid.IntRange(0, randomNodeCount-1).Draw(t, "node")
-			switch rapid.SampledFrom([]string{"change", "read", "read late", "send update", "restart"}).Draw(t, "step") {
+			switch rapid.SampledFrom([]string{"change", "read", "read late", "send update", "restart", "restore"}).Draw(t, "step") {
 			case "change":
 				e.change(t)
 			case "read":
@@ -32,6 +32,8 @@
 				e.read(t, node, rapid.IntRange(max(0, len(e.history)-5), len(e.history)-1).Draw(t, "revision"))
 			case "send update":
 				e.sendUpdate(t, node, rapid.IntRange(0, randomNodeCount-1).Draw(t, "other"))
+			case "restore":
+				e.restore(t)
 			case "restart":
 				e.nodes[node], e.newest[node] = &State{}, newestApplied{}
 			}
@@ -40,8 +42,9 @@
 	})
 }
 
-// storeContent is what the store holds at one revision.
+// storeContent is what the store holds at one position.
 type storeContent struct {
+	position       site.Position
 	configRevision int64
 	targets        []string
 	drained        []string
@@ -50,8 +53,8 @@
 // newestApplied holds the newest revisions that a node has applied.
 type newestApplied struct {
 	configRevision int64
-	drained        int64
-	registered     int64
+	drained        site.Position
+	registered     site.Position
 }
 
 type stateEnv struct {
@@ -62,7 +65,7 @@
 }
 
 func newStateEnv() *stateEnv {
-	e := &stateEnv{now: time.Unix(1000, 0), history: []storeContent{{configRevision: 1, targets: []string{"t0", "t1"}}}}
+	e := &stateEnv{now: time.Unix(1000, 0), history: []storeContent{{position: site.Position{Epoch: 1, Revision: 1}, configRevision: 1, targets: []string{"t0", "t1"}}}}
 	for i := range e.nodes {
 		e.nodes[i] = &State{}
 	}
@@ -72,6 +75,7 @@
 // change writes a random change to the store.
 func (e *stateEnv) change(t *rapid.T) {
 	next := e.history[len(e.history)-1]
+	next.position.Revision++
 	next.targets, next.drained = slices.Clone(next.targets), slices.Clone(next.drained)
 	name := rapid.IntRange(0, 5).Draw(t, "which")
 	switch rapid.SampledFrom([]string{"config", "target", "domain"}).Draw(t, "what") {
@@ -85,6 +89,19 @@
 	e.history = append(e.history, next)
 }
 
+// restore restores the store from a copy, which begins a new epoch.
+func (e *stateEnv) restore(t *rapid.T) {
+	last := len(e.history) - 1
+	held := e.history[rapid.IntRange(max(0, last-5), last).Draw(t, "copy")]
+	held.position.Epoch = e.history[last].position.Epoch + 1
+	e.history = append(e.history, held)
+}
+
+// at returns what the store held at a position.
+func (e *stateEnv) at(p site.Position) storeContent {
+	return e.history[slices.IndexFunc(e.history, func(c storeContent) bool { return c.position == p })]
+}
+
 // toggle removes the name from the list, or adds it if it is missing.
 func toggle(list []string, name string) []string {
 	if i := slices.Index(list, name); i >= 0 {
@@ -93,21 +110,22 @@
 	return append(list, name)
 }
 
-// snapshot returns the content of the store at a revision.
-func (e *stateEnv) snapshot(revision int) Snapshot {
-	s := e.history[revision]
-	d := site.Directory{Position: site.Position{Revision: int64(revision + 1)}}
+// snapshot returns the content of the store after a number of changes and restores.
+func (e *stateEnv) snapshot(count int) Snapshot {
+	s := e.history[count]
+	d := site.Directory{Position: s.position}
 	for _, n := range s.targets {
 		d.Targets = append(d.Targets, site.Target{ID: n, Service: "svc", Address: n, Domain: "d" + string(n[1]%3+'0')})
 	}
 	return Snapshot{
 		Config: site.NewConfig(site.Config{Revision: s.configRevision}), Directory: site.NewDirectory(d),
-		DrainedDomains: &DrainedDomains{Domains: s.drained, Position: site.Position{Revision: int64(revision + 1)}},
+		DrainedDomains: &DrainedDomains{Domains: s.drained, Position: s.position},
+		AppliedAt:      e.now,
 	}
 }
 
-func (e *stateEnv) read(t *rapid.T, node, revision int) {
-	sn := e.snapshot(revision)
+func (e *stateEnv) read(t *rapid.T, node, count int) {
+	sn := e.snapshot(count)
 	sn.ReadAt = e.now
 	e.nodes[node].Apply(sn)
 	e.check(t, node)
@@ -116,7 +134,7 @@
 // sendUpdate makes one node send another all of its state.
 func (e *stateEnv) sendUpdate(t *rapid.T, from, to int) {
 	s := e.nodes[from]
-	sn := Snapshot{Config: s.config, Unchanged: s.directoryVersion(e.now), DrainedDomains: s.drained, ReadAt: s.lastRead}
+	sn := Snapshot{Config: s.config, Unchanged: s.directoryVersion(e.now), DrainedDomains: s.drained, ReadAt: s.lastRead, AppliedAt: e.now}
 	if !e.nodes[to].matches(sn.Unchanged) {
 		sn.Directory = s.registered
 	}
@@ -129,12 +147,12 @@
 	if s.drained == nil {
 		return // Nothing is active yet.
 	}
-	if s.config.Revision < newest.configRevision || s.registered.Revision < newest.registered || s.drained.Revision < newest.drained {
-		t.Fatalf("node %d went back to configuration %d, targets %d, drained domains %d after %+v", node, s.config.Revision, s.registered.Revision, s.drained.Revision, *newest)
+	if s.config.Revision < newest.configRevision || newest.registered.After(s.registered.Position) || newest.drained.After(s.drained.Position) {
+		t.Fatalf("node %d went back to configuration %d, targets %v, drained domains %v after %+v", node, s.config.Revision, s.registered.Position, s.drained.Position, *newest)
 	}
-	newest.configRevision, newest.registered, newest.drained = s.config.Revision, s.registered.Revision, s.drained.Revision
-	if want, got := e.history[s.registered.Revision-1].targets, ids(s.registered); !slices.Equal(slices.Sorted(slices.Values(want)), got) {
-		t.Fatalf("node %d has targets %v at revision %d, want %v", node, got, s.registered.Revision, want)
+	newest.configRevision, newest.registered, newest.drained = s.config.Revision, s.registered.Position, s.drained.Position
+	if want, got := e.at(s.registered.Position).targets, ids(s.registered); !slices.Equal(slices.Sorted(slices.Values(want)), got) {
+		t.Fatalf("node %d has targets %v at %v, want %v", node, got, s.registered.Position, want)
 	}
 	for _, target := range s.Directory().Usable("svc") {
 		if slices.Contains(s.drained.Domains, target.Domain) {
@@ -155,12 +173,13 @@
 	return list
 }
 
-// checkFinal makes every node read the store until after the grace period and checks
+// checkFinal makes every node read the store until after the grace period and the hold on
+// departed targets, and checks
 // that it uses the targets that accept new work.
 func (e *stateEnv) checkFinal(t *rapid.T) {
 	last := len(e.history) - 1
 	for i := range e.nodes {
-		for range 2 * reregisterGrace / readInterval {
+		for range 2 * departureHold / readInterval {
 			e.read(t, i, last)
 			e.now = e.now.Add(readInterval)
 		}
@@ -175,11 +194,11 @@
 	}
 }
 
-// usable returns the targets that accept new work at a revision.
-func (e *stateEnv) usable(revision int) []string {
+// usable returns the targets that accept new work after a number of changes and restores.
+func (e *stateEnv) usable(count int) []string {
 	var list []string
-	for _, target := range e.snapshot(revision).Directory.Targets {
-		if !slices.Contains(e.history[revision].drained, target.Domain) {
+	for _, target := range e.snapshot(count).Directory.Targets {
+		if !slices.Contains(e.history[count].drained, target.Domain) {
 			list = append(list, target.ID)
 		}
 	}
--- a/news/rollouts.go
+++ b/news/rollouts.go
@@ -23,7 +23,7 @@
 // applyRollouts merges rollouts unless they are older than the present ones, and reports
 // whether that has changed any.
 func (s *State) applyRollouts(r *Rollouts) bool {
-	if r == nil || s.rollouts != nil && r.Revision < s.rollouts.Revision {
+	if r == nil || s.rollouts != nil && s.rollouts.After(r.Position) {
 		return false
 	}
 	before := s.Rollouts()
@@ -47,10 +47,10 @@
 	return order
 }
 
-// newerRollouts returns the rollouts to send to a node that has those of a revision, nil if
+// newerRollouts returns the rollouts to send to a node that has those of a position, nil if
 // they are not newer. Without any, only a node that has some must learn it.
-func (s *State) newerRollouts(revision int64) *Rollouts {
-	if s.rollouts == nil || s.rollouts.Revision <= revision || len(s.rollouts.Rollouts) == 0 && revision == 0 {
+func (s *State) newerRollouts(p site.Position) *Rollouts {
+	if s.rollouts == nil || !s.rollouts.After(p) || len(s.rollouts.Rollouts) == 0 && p.Revision == 0 {
 		return nil
 	}
 	return s.rollouts
--- a/news/service.go
+++ b/news/service.go
@@ -122,6 +122,9 @@
 	DrainedDomainsRevision int64 `json:"departures"`
 	// RolloutsRevision is zero, too, if there are no rollouts.
 	RolloutsRevision int64 `json:"rollouts,omitempty"`
+	// The epochs of the revisions. VMs of earlier versions do not state them.
+	DrainedDomainsEpoch int64 `json:"departures_epoch,omitempty"`
+	RolloutsEpoch       int64 `json:"rollouts_epoch,omitempty"`
 	// Transfers means that the sender fetches configurations and directories by
 	// calls of their own. VMs of earlier versions do not.
 	Transfers bool `json:"transfers"`
@@ -294,7 +297,7 @@
 	s.mutex.Lock()
 	now := s.Clock.Now()
 	s.lastStoreRead = now
-	change := s.state.Apply(Snapshot{Directory: d, ReadAt: now})
+	change := s.state.Apply(Snapshot{Directory: d, ReadAt: now, AppliedAt: now})
 	s.mutex.Unlock()
 	s.logChange(change, "store")
 	return nil
--- a/news/state.go
+++ b/news/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"bergamotworks/site"
@@ -38,6 +39,8 @@
 	ReadAt time.Time
 	// GraceEnd is the end of the grace period of the other node; zero if it has none.
 	GraceEnd time.Time
+	// AppliedAt is the current time.
+	AppliedAt time.Time
 }
 
 // directoryVersion identifies what a directory lists. The zero value stands for
@@ -52,6 +55,8 @@
 // It is not safe for concurrent use.
 type State struct {
 	epoch     int64 // The latest epoch of the store that is known.
+	departed  departures
+	inherited inheritance // From the epoch before, while it counts.
 	config    site.Config
 	directory site.Directory
 	// registered is the directory as last applied, from the store or from
@@ -75,7 +80,10 @@
 	// EpochBefore is the epoch that was known before if a later one became known;
 	// otherwise zero.
 	EpochBefore int64
-	Config      bool
+	// Held is the number of targets that get no work in the new epoch though its entries
+	// may list them, since they had left before.
+	Held   int
+	Config bool
 	// Directory means that a directory or drained failure domains were applied. The
 	// active directory may be unchanged.
 	Directory      bool
@@ -97,57 +105,46 @@
 // Apply merges a snapshot of the store or of another node: the parts that are not
 // older than the present ones. A configuration must be newer.
 func (s *State) Apply(sn Snapshot) Change {
-	c := Change{Grace: s.recordRead(sn), EpochBefore: s.observeEpoch(sn)}
+	sn = sn.withEpoch(s.epoch)
+	c := Change{Grace: s.recordRead(sn)}
+	s.followEpoch(sn, &c)
 	if sn.Config.Loaded() && (!s.config.Loaded() || sn.Config.Revision > s.config.Revision) {
 		s.config = sn.Config
 		c.Config = true
 	}
-	if sn.DrainedDomains != nil && (s.drained == nil || sn.DrainedDomains.Revision >= s.drained.Revision) {
+	if sn.DrainedDomains != nil && (s.drained == nil || !s.drained.After(sn.DrainedDomains.Position)) {
 		s.drained = sn.DrainedDomains
 		c.Directory = true
 	}
 	c.Rollouts = s.applyRollouts(sn.Rollouts)
-	if sn.Directory.Loaded() && (!s.registered.Loaded() || sn.Directory.Revision >= s.registered.Revision) {
-		s.registered, s.registeredHash = sn.Directory, sn.Directory.TargetsHash()
+	if sn.Directory.Loaded() && (!s.registered.Loaded() || !s.registered.After(sn.Directory.Position)) {
+		s.replaceRegistered(sn.Directory, sn.AppliedAt)
 		c.Directory = true
 	}
-	if s.matches(sn.Unchanged) && sn.Unchanged.Revision > s.registered.Revision {
-		s.registered = s.registered.WithRevision(sn.Unchanged.Revision)
+	if s.matches(sn.Unchanged) && sn.Unchanged.After(s.registered.Position) {
+		s.registered = s.registered.WithPosition(sn.Unchanged.Position)
 		c.Directory = true
 	}
 	c.Directory = s.confirmRegistered(sn) || c.Directory
+	c.Directory = s.inherited.expire(sn.AppliedAt) || c.Directory
 	if c.Directory {
 		s.rebuild(&c)
 	}
 	return c
 }
 
-// observeEpoch records the epoch of a snapshot. It returns the one that was known before
-// if that of the snapshot is later, zero otherwise.
-func (s *State) observeEpoch(sn Snapshot) int64 {
-	before := s.epoch
-	s.epoch = max(s.epoch, sn.epoch())
-	if s.epoch == before {
-		return 0
-	}
-	return before
-}
-
-// epoch returns the latest epoch of the parts of the snapshot.
-func (sn Snapshot) epoch() int64 {
-	epoch := max(sn.Directory.Epoch, sn.Unchanged.Epoch)
-	if sn.DrainedDomains != nil {
-		epoch = max(epoch, sn.DrainedDomains.Epoch)
-	}
-	if sn.Rollouts != nil {
-		epoch = max(epoch, sn.Rollouts.Epoch)
+// replaceRegistered replaces the registered directory.
+func (s *State) replaceRegistered(d site.Directory, now time.Time) {
+	hash := d.TargetsHash()
+	if s.registered.Loaded() && hash != s.registeredHash {
+		if s.registered.Epoch == d.Epoch {
+			s.departed.observe(s.registered, d, now)
+		}
+		s.inherited.observe(d)
 	}
-	return epoch
+	s.registered, s.registeredHash = d, hash
 }
 
-// Epoch returns the latest epoch of the store that is known, zero if there is none.
-func (s *State) Epoch() int64 { return s.epoch }
-
 // confirmRegistered records the read of the store in a snapshot that was just merged.
 // It reports whether that may end the grace period.
 func (s *State) confirmRegistered(sn Snapshot) bool {
@@ -162,8 +159,11 @@
 // includes reports whether the registered directory is at least as new as that of
 // a snapshot that was just merged.
 func (s *State) includes(sn Snapshot) bool {
-	revision := max(sn.Directory.Revision, sn.Unchanged.Revision)
-	return revision != 0 && s.registered.Loaded() && s.registered.Revision >= revision
+	latest := sn.Directory.Position
+	if sn.Unchanged.After(latest) {
+		latest = sn.Unchanged.Position
+	}
+	return latest.Revision != 0 && s.registered.Loaded() && !latest.After(s.registered.Position)
 }
 
 // recordRead records that a VM has read the directory from the store. If no VM is
@@ -231,12 +231,14 @@
 	if !s.registered.Loaded() || s.drained == nil {
 		return
 	}
-	next := s.registered
+	next := s.inherited.correct(s.registered)
+	domains := s.drained.Domains
 	if s.retains() {
 		next = next.WithRetained(s.unlisted(s.registered))
+		domains = slices.Concat(domains, s.inherited.drained)
 	}
 	before := s.directory
-	s.directory = next.WithDrainedDomains(s.drained.Domains, s.drained.Revision)
+	s.directory = next.WithDrainedDomains(domains, s.drained.Position)
 	c.setDiff(before, s.directory)
 }
 
@@ -252,6 +254,13 @@
 	return targets
 }
 
+// lacks reports whether another directory is later than the registered one and has other
+// targets.
+func (s *State) lacks(v directoryVersion) bool {
+	v.Position = withEpoch(v.Position, s.epoch)
+	return v.After(s.registered.Position) && !s.matches(v)
+}
+
 // matches reports whether the registered targets are those of another directory.
 func (s *State) matches(v directoryVersion) bool {
 	return s.registered.Loaded() && v.Revision != 0 && !v.Cold && v.Hash == s.registeredHash
@@ -269,10 +278,10 @@
 func (s *State) revisions() revisions {
 	v := revisions{ConfigRevision: s.config.Revision, DirectoryRevision: s.registered.Revision}
 	if s.drained != nil {
-		v.DrainedDomainsRevision = s.drained.Revision
+		v.DrainedDomainsRevision, v.DrainedDomainsEpoch = s.drained.Revision, s.drained.Epoch
 	}
 	if len(s.Rollouts()) > 0 {
-		v.RolloutsRevision = s.rollouts.Revision
+		v.RolloutsRevision, v.RolloutsEpoch = s.rollouts.Revision, s.rollouts.Epoch
 	}
 	return v
 }
--- a/news/state_test.go
+++ b/news/state_test.go
@@ -28,6 +28,10 @@
 	// PeerReadMS is the time at which the other node has read the store; zero if it
 	// has not.
 	PeerReadMS int64 `json:"peer_read_ms"`
+	// Epoch is that of the parts of the snapshot. Without one, the store has no epochs.
+	Epoch int64 `json:"epoch"`
+	// GraceMS is the remaining grace period of the other node.
+	GraceMS int64 `json:"grace_ms"`
 	// ConfigRevision, Targets and DrainedDomains are the snapshot; a revision of
 	// zero leaves its part out.
 	ConfigRevision     int64    `json:"version"`
@@ -52,13 +56,16 @@
 		switch {
 		case p.Failed: // Nothing is applied.
 		case p.FromPeer:
-			sn := p.snapshot()
+			sn := p.snapshot(now)
+			if p.GraceMS > 0 {
+				sn.GraceEnd = now.Add(time.Duration(p.GraceMS) * time.Millisecond)
+			}
 			if p.PeerReadMS > 0 {
 				sn.ReadAt = start.Add(time.Duration(p.PeerReadMS) * time.Millisecond)
 			}
 			s.Apply(sn)
 		default:
-			sn := p.snapshot()
+			sn := p.snapshot(now)
 			sn.ReadAt = now
 			s.Apply(sn)
 		}
@@ -76,20 +83,27 @@
 	}
 }
 
-// snapshot returns the snapshot of the step. A target is written ID@DOMAIN.
-func (p stateStep) snapshot() news.Snapshot {
-	var sn news.Snapshot
+// snapshot returns the snapshot of the step. A target is written ID@DOMAIN, followed by
+// "!" if it drains and by "+" if it is a later incarnation.
+func (p stateStep) snapshot(now time.Time) news.Snapshot {
+	sn := news.Snapshot{AppliedAt: now}
 	if p.ConfigRevision > 0 {
 		sn.Config = site.NewConfig(site.Config{Revision: p.ConfigRevision})
 	}
 	if p.DrainedRevision > 0 {
-		sn.DrainedDomains = &news.DrainedDomains{Domains: p.DrainedDomains, Position: site.Position{Revision: p.DrainedRevision}}
+		sn.DrainedDomains = &news.DrainedDomains{Domains: p.DrainedDomains, Position: site.Position{Epoch: p.Epoch, Revision: p.DrainedRevision}}
 	}
 	if p.DirectoryRevision > 0 {
-		d := site.Directory{Position: site.Position{Revision: p.DirectoryRevision}}
+		d := site.Directory{Position: site.Position{Epoch: p.Epoch, Revision: p.DirectoryRevision}}
 		for _, text := range p.Targets {
+			text, restarted := strings.CutSuffix(text, "+")
+			text, draining := strings.CutSuffix(text, "!")
 			id, domain, _ := strings.Cut(text, "@")
-			d.Targets = append(d.Targets, site.Target{ID: id, Service: "svc", Domain: domain, Address: id})
+			target := site.Target{ID: id, Service: "svc", Domain: domain, Address: id, Draining: draining, Incarnation: 1}
+			if restarted {
+				target.Incarnation = 2
+			}
+			d.Targets = append(d.Targets, target)
 		}
 		sn.Directory = site.NewDirectory(d)
 	}
--- a/news/transfer.go
+++ b/news/transfer.go
@@ -36,22 +36,22 @@
 // nodes fetch it at the same time.
 type encodedCache struct {
 	mutex    sync.Mutex
-	revision int64
+	position site.Position
 	data     []byte
 }
 
-// get returns the value of a revision as made by wire.Compress.
-func (c *encodedCache) get(revision int64, value any) ([]byte, error) {
+// get returns the value of a position as made by wire.Compress.
+func (c *encodedCache) get(position site.Position, value any) ([]byte, error) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.data != nil && c.revision == revision {
+	if c.data != nil && c.position == position {
 		return c.data, nil
 	}
 	data, err := wire.Compress(value)
 	if err != nil {
-		return nil, fault.New(fault.Internal, fault.NotRun, "encode revision %d: %s", revision, err)
+		return nil, fault.New(fault.Internal, fault.NotRun, "encode revision %d: %s", position.Revision, err)
 	}
-	c.revision, c.data = revision, data
+	c.position, c.data = position, data
 	return data, nil
 }
 
@@ -62,7 +62,7 @@
 	if !config.Loaded() || config.Revision <= request.Revision {
 		return configReply{}, fault.New(fault.NotFound, fault.NotRun, "no configuration after revision %d", request.Revision)
 	}
-	data, err := s.encodedConfig.get(config.Revision, config)
+	data, err := s.encodedConfig.get(site.Position{Revision: config.Revision}, config)
 	return configReply{Revision: config.Revision, Data: data}, err
 }
 
@@ -107,13 +107,13 @@
 	if !d.Loaded() {
 		return directoryReply{}, fault.New(fault.NotFound, fault.NotRun, "no directory")
 	}
-	data, err := s.encodedDirectory.get(d.Revision, d)
+	data, err := s.encodedDirectory.get(d.Position, d)
 	return directoryReply{Now: s.Clock.Now(), Data: data}, err
 }
 
 // fetchDirectory fetches and applies the directory of another node, which has read it
-// from the store at readAt or later.
-func (s *Service) fetchDirectory(ctx context.Context, vm string, readAt time.Time) error {
+// from the store at readAt or later and whose grace period lasts for the given time.
+func (s *Service) fetchDirectory(ctx context.Context, vm string, readAt time.Time, grace time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, transferTimeout)
 	defer cancel()
 	var reply directoryReply
@@ -124,6 +124,6 @@
 	if err := wire.Decompress(reply.Data, &d); err != nil {
 		return fault.New(fault.Internal, fault.NotRun, "directory of %s: %s", vm, err)
 	}
-	s.apply(vm, update{Directory: &d, Now: reply.Now}, readAt)
+	s.apply(vm, update{Directory: &d, Now: reply.Now, GraceRemaining: grace}, readAt)
 	return nil
 }
--- a/relay/move.go
+++ b/relay/move.go
@@ -55,7 +55,7 @@
 	count    uint64            // Number of runs so far; makes their identifiers unique.
 	live     map[*liveRun]bool // Runs that may be moved.
 	watching bool              // Server.loopMoves is running.
-	pruned   int64             // Revision of the directory by which the policy was pruned.
+	pruned   site.Position     // Position of the directory by which the policy was pruned.
 
 	context context.Context // Of the calls that move runs; canceled when the server is closed.
 	cancel  context.CancelFunc
@@ -239,8 +239,8 @@
 // pruneMoves discards what is known of targets and services that are gone. The mutex is
 // held.
 func (s *Server) pruneMoves() {
-	if d := s.Directory(); d.Revision != s.moves.pruned {
-		s.moves.pruned = d.Revision
+	if d := s.Directory(); d.Position != s.moves.pruned {
+		s.moves.pruned = d.Position
 		s.moves.policy.Prune(d)
 	}
 }
--- a/relay/report.go
+++ b/relay/report.go
@@ -155,8 +155,8 @@
 		s.reportEpoch = epoch
 		s.placement.DropReports()
 	}
-	if d := s.Directory(); d.Revision != s.prunedRevision {
-		s.prunedRevision = d.Revision
+	if d := s.Directory(); d.Position != s.prunedPosition {
+		s.prunedPosition = d.Position
 		s.placement.Prune(s.Clock.Now(), d)
 		s.admission().Prune(s.Clock.Now(), d)
 		s.listPaced(s.Clock.Now(), d)
--- a/relay/server.go
+++ b/relay/server.go
@@ -119,8 +119,8 @@
 	placement   place.Table
 	reportLimit *rate.Limiter
 	reportEpoch uint64 // Epoch of the membership in which the reports were received.
-	// prunedRevision is the revision of the directory by which placement was pruned.
-	prunedRevision int64
+	// prunedPosition is the position of the directory by which placement was pruned.
+	prunedPosition site.Position
 	speedLimit     *rate.Limiter
 	speedLogLimit  *rate.Limiter
 	checkingSpeeds bool // The loop that finds overdue first events runs.
--- a/site/directory.go
+++ b/site/directory.go
@@ -93,16 +93,16 @@
 	return slices.ContainsFunc(d.Targets, func(t Target) bool { return t.ColdUntil.After(now) })
 }
 
-// WithRevision returns a copy that is known to hold at another revision.
-func (d Directory) WithRevision(revision int64) Directory {
-	d.Revision = revision
+// WithPosition returns a copy that is known to hold at another position.
+func (d Directory) WithPosition(p Position) Directory {
+	d.Position = p
 	return d
 }
 
 // WithDrainedDomains returns a copy in which exactly the given failure
-// domains are drained, as of a store revision. If they already are, it
+// domains are drained, as of a position of the store. If they already are, it
 // returns d unchanged.
-func (d Directory) WithDrainedDomains(domains []string, revision int64) Directory {
+func (d Directory) WithDrainedDomains(domains []string, p Position) Directory {
 	drained := make(map[string]bool, len(domains))
 	for _, n := range domains {
 		drained[n] = true
@@ -111,7 +111,9 @@
 		return d
 	}
 	d.DrainedDomains = drained
-	d.Revision = max(d.Revision, revision)
+	if p.After(d.Position) {
+		d.Position = p
+	}
 	return NewDirectory(d)
 }
 
--- a/site/position.go
+++ b/site/position.go
@@ -10,3 +10,11 @@
 	// revisions again that the one before had given out.
 	Revision int64 `json:"revision"`
 }
+
+// After reports whether p is later than q: a later epoch goes before any revision.
+func (p Position) After(q Position) bool {
+	if p.Epoch != q.Epoch {
+		return p.Epoch > q.Epoch
+	}
+	return p.Revision > q.Revision
+}
