platform, news: epochs that the store counts from zero, or states later

A number of zero would have counted as no epoch, so that the state of the epoch before could have come back from another node. Epochs are counted from one behind the boundary, and the first epoch that a store states after one without any is one that follows a restore.

--- a/news/epoch.go
+++ b/news/epoch.go
@@ -96,12 +96,13 @@
 	return site.NewDirectory(d)
 }
 
-// followEpoch records the epoch of a snapshot. If an earlier one was known, the store was
-// restored from a copy, and what this node knows counts beside the copy for a while.
+// followEpoch records the epoch of a snapshot. If it is later than that of what this node
+// knows, the store was restored from a copy, and what it knows counts beside the copy for a
+// while.
 func (s *State) followEpoch(sn Snapshot, c *Change) {
 	before := s.epoch
 	s.epoch = max(s.epoch, sn.epoch())
-	if before == 0 || s.epoch == before {
+	if s.epoch == before || !s.registered.Loaded() && s.drained == nil {
 		return
 	}
 	held := maps.Clone(s.inherited.departed)
@@ -118,7 +119,7 @@
 	if end.After(s.graceEnd) {
 		s.graceEnd = end
 	}
-	c.EpochBefore, c.Held = before, len(held)
+	c.Restored, c.EpochBefore, c.Held = true, before, len(held)
 }
 
 // epoch returns the latest epoch of the parts of the snapshot.
--- a/news/log.go
+++ b/news/log.go
@@ -70,7 +70,7 @@
 // logChange logs what a merge has changed. From is "store" or the ID of the VM that
 // sent the state.
 func (s *Service) logChange(c Change, from string) {
-	if c.EpochBefore > 0 {
+	if c.Restored {
 		s.Metrics.GetOrCreateCounter("news_store_epoch_changes_total").Inc()
 		s.Log.WithFields(logrus.Fields{
 			"epoch_before": c.EpochBefore, "epoch": s.epoch(), "revision": s.Directory().Revision, "version": s.Config().Revision,
--- a/news/state.go
+++ b/news/state.go
@@ -77,8 +77,8 @@
 
 // Change says what a merge has changed.
 type Change struct {
-	// EpochBefore is the epoch that was known before if a later one became known;
-	// otherwise zero.
+	// Restored means that a later epoch of the store has become known than EpochBefore.
+	Restored    bool
 	EpochBefore int64
 	// Held is the number of targets that get no work in the new epoch though its entries
 	// may list them, since they had left before.
