wire: a response without length that interrupts its request is not complete

A client got the first part of a response as a complete one: the target answered a long upload at once with a 200 without length, sent a part of the body and reset the connection while the upload was being written. Cause: the operating system reports a reset once. If it reports it to the write, the read sees the end of the connection, which is the regular end of a body without length.

Such a body is complete only if the request was written completely; a write that ends at that moment has 100 ms. Before, TestUnreadableResponses failed in two cases (complete, error <nil>) and TestPath in order_early_reset, idempotent_early_reset, stream_early_reset and stream_early_reset_resumed; now a non-idempotent request gets 502 and has run once, an idempotent one is served by the second target, a stream is resumed there or breaks off.

--- a/wire/body.go
+++ b/wire/body.go
@@ -53,7 +53,9 @@
 }
 
 // end handles the io.EOF of the source. It skips the trailer of a chunked body; a
-// body without a length ends when the connection is closed.
+// body without a length ends when the connection is closed, unless that has interrupted
+// the request: a reset is reported either to the write or to the read, and the other one
+// sees the end of the connection only.
 func (b *body) end() error {
 	if b.remaining == chunked {
 		if err := skipTrailer(b.response.conn.Reader); err != nil {
@@ -63,6 +65,9 @@
 			return err
 		}
 	}
+	if b.remaining == untilClose && !b.response.requestSent() {
+		return io.ErrUnexpectedEOF
+	}
 	b.response.complete = true
 	return io.EOF
 }
--- a/wire/client.go
+++ b/wire/client.go
@@ -27,6 +27,9 @@
 	// maxInterimResponses is the number of responses with a status of 100 to 199
 	// that are skipped before a connection is closed.
 	maxInterimResponses = 8
+	// writeEndDelay is how long after the end of a response the write of a request that
+	// the target has read may take to end.
+	writeEndDelay = 100 * time.Millisecond
 )
 
 // Client sends requests and reuses idle connections. The exported fields are set
@@ -335,6 +338,19 @@
 	r.client.idle.Put(r.conn, r.client.Clock.Now(), r.client.idleTimeout())
 }
 
+// requestSent reports whether the request of the response has been written completely. It
+// waits for the write up to writeEndDelay.
+func (r *Response) requestSent() bool {
+	if r.writer == nil { // The response belongs to an earlier request.
+		return true
+	}
+	select {
+	case <-r.writer.done:
+	case <-r.client.Clock.After(writeEndDelay):
+	}
+	return r.writer.succeeded()
+}
+
 // abandonReused makes Close close a connection that has carried earlier calls, since
 // the response may be one to them, with that to this call still to come.
 func (r *Response) abandonReused() {
