wire: errors of responses that can't be read do not say that nothing has run

Callers of a request that a target may have run got a 502 with a text, and operators a log line, that said (not_run): "call to TARGET: invalid: field head: the status line (not_run)". Cause: requests and responses are read by one parser, whose errors carry the verdict of a request that is rejected.

The parser now returns errors without a verdict; the reader of a request rejects it, a call that was sent may have run.

--- a/wire/body.go
+++ b/wire/body.go
@@ -4,6 +4,8 @@
 	"errors"
 	"io"
 	"net/http/httputil"
+
+	"bergamotworks/fault"
 )
 
 // body reads the body of a response and marks the response complete at its end.
@@ -52,6 +54,16 @@
 	return n, err
 }
 
+// unreadable returns the *fault.Error for a response that can't be read, and any other
+// error unchanged.
+func unreadable(err error) error {
+	var e *messageError
+	if !errors.As(err, &e) {
+		return err
+	}
+	return fault.New(fault.ConnectionLost, fault.MayHaveRun, "%s", e.text)
+}
+
 // end handles the io.EOF of the source. It skips the trailer of a chunked body; a
 // body without a length ends when the connection is closed, unless that has interrupted
 // the request: a reset is reported either to the write or to the read, and the other one
@@ -62,7 +74,7 @@
 			if errors.Is(err, io.EOF) {
 				return io.ErrUnexpectedEOF
 			}
-			return err
+			return unreadable(err)
 		}
 	}
 	if b.remaining == untilClose && !b.response.requestSent() {
--- a/wire/endless_test.go
+++ b/wire/endless_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -66,6 +67,9 @@
 	if diff := cmp.Diff(c.Kind, fault.From(err).Kind.String()); diff != "" {
 		t.Errorf("kind of %v (-want +got):\n%s", err, diff)
 	}
+	if diff := cmp.Diff(fault.MayHaveRun, fault.VerdictOf(err)); diff != "" || strings.Contains(err.Error(), fault.NotRun.String()) {
+		t.Errorf("verdict of %v (-want +got):\n%s", err, diff)
+	}
 	if sent := target.close(); sent > c.Bytes {
 		t.Errorf("the target sent %d bytes, want at most %d", sent, c.Bytes)
 	}
--- a/wire/header.go
+++ b/wire/header.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"errors"
+	"fmt"
 	"strconv"
 	"strings"
 
@@ -80,12 +81,34 @@
 	}
 }
 
+// messageError is the error of a message that can't be read. What it means for the request
+// depends on whether that is the message: see [rejected].
+type messageError struct {
+	kind fault.Kind
+	text string
+}
+
+func (e *messageError) Error() string { return e.text }
+
 func headerTooLarge() error {
-	return fault.New(fault.TooLarge, fault.NotRun, "the message head is longer than the limit")
+	return &messageError{kind: fault.TooLarge, text: "the message head is longer than the limit"}
 }
 
 func malformed(format string, args ...any) error {
-	return fault.InvalidField("head", format, args...)
+	return &messageError{kind: fault.Invalid, text: fmt.Sprintf(format, args...)}
+}
+
+// rejected returns the *fault.Error for a request that can't be read, and any other error
+// unchanged.
+func rejected(err error) error {
+	var e *messageError
+	switch {
+	case !errors.As(err, &e):
+		return err
+	case e.kind == fault.Invalid:
+		return fault.InvalidField("head", "%s", e.text)
+	}
+	return fault.New(e.kind, fault.NotRun, "%s", e.text)
 }
 
 func parseHeader(text string) (string, Headers, error) {
--- a/wire/request.go
+++ b/wire/request.go
@@ -70,6 +70,11 @@
 // ReadHeader reads the header of the next request. An error of type *fault.Error
 // means that the request is rejected; any other error is one of the connection.
 func (r *Reader) ReadHeader() (*Request, error) {
+	q, err := r.readHeader()
+	return q, rejected(err)
+}
+
+func (r *Reader) readHeader() (*Request, error) {
 	line, headers, err := readHeader(r.Buffer)
 	if err != nil {
 		return nil, err
@@ -100,7 +105,7 @@
 func (r *Reader) ReadBody(q *Request, limit int64) error {
 	length, err := q.Headers.bodyLength(0)
 	if err != nil {
-		return err
+		return rejected(err)
 	}
 	if length == 0 {
 		return nil
@@ -113,7 +118,7 @@
 	}
 	if err := r.readBody(q, length, limit); err != nil {
 		q.Release()
-		return err
+		return rejected(err)
 	}
 	return nil
 }
