wire: reject a response at its first byte that can't be one

A call to a target that answered with the status 000, or with something else that is no response, and kept the connection was held until its deadline: 504 instead of 502 at once, or a response of the second target. Cause: the status line was looked at only once the whole header had arrived. A status of four digits was cut to three.

The status line is checked as it arrives.

--- a/wire/client.go
+++ b/wire/client.go
@@ -7,8 +7,6 @@
 	"fmt"
 	"io"
 	"net"
-	"strconv"
-	"strings"
 	"syscall"
 	"time"
 
@@ -282,13 +280,13 @@
 // status of 100 to 199.
 func readResponse(conn *Conn, method string) (*Response, error) {
 	for range maxInterimResponses + 1 {
-		line, headers, err := readHeader(conn.Reader)
+		line, headers, err := readHeader(conn.Reader, checkStatusLine)
 		if err != nil {
 			return nil, err
 		}
-		status, ok := parseStatus(line)
-		if !ok {
-			return nil, malformed("the status line")
+		status, err := parseStatus(line)
+		if err != nil {
+			return nil, err
 		}
 		if status >= 100 && status < 200 {
 			continue
@@ -298,14 +296,6 @@
 	return nil, fmt.Errorf("more than %d interim responses", maxInterimResponses)
 }
 
-func parseStatus(line string) (int, bool) {
-	if !strings.HasPrefix(line, "HTTP/1.") || len(line) < len("HTTP/1.1 200") {
-		return 0, false
-	}
-	status, err := strconv.Atoi(line[len("HTTP/1.1 "):len("HTTP/1.1 200")])
-	return status, err == nil && status >= 100 && status < 600
-}
-
 func newResponse(conn *Conn, method string, status int, headers Headers) (*Response, error) {
 	length, err := headers.bodyLength(untilClose)
 	if err != nil {
--- a/wire/header.go
+++ b/wire/header.go
@@ -61,8 +61,9 @@
 var headerEnd = []byte("\r\n\r\n")
 
 // readHeader returns the start line and the header fields of the next message. The
-// size of the reader's buffer bounds their total length.
-func readHeader(r *bufio.Reader) (string, Headers, error) {
+// size of the reader's buffer bounds their total length. If checkStart is not nil, it is
+// called with what has arrived, so that a message that can't be read is not waited for.
+func readHeader(r *bufio.Reader, checkStart func(start []byte) error) (string, Headers, error) {
 	size := 1
 	for {
 		if _, err := r.Peek(size); err != nil {
@@ -72,6 +73,11 @@
 			return "", nil, err
 		}
 		buffered, _ := r.Peek(r.Buffered()) // Never fails for what is buffered.
+		if checkStart != nil {
+			if err := checkStart(buffered); err != nil {
+				return "", nil, err
+			}
+		}
 		if at := bytes.Index(buffered, headerEnd); at >= 0 {
 			text := string(buffered[:at])
 			_, _ = r.Discard(at + len(headerEnd)) // Never fails for what is buffered.
--- a/wire/request.go
+++ b/wire/request.go
@@ -75,7 +75,7 @@
 }
 
 func (r *Reader) readHeader() (*Request, error) {
-	line, headers, err := readHeader(r.Buffer)
+	line, headers, err := readHeader(r.Buffer, nil)
 	if err != nil {
 		return nil, err
 	}
