engine: a response with a status of zeros is not a success

On the product's own interface a caller got the response of a target whose status was 000 as its result. Cause: fasthttp returns 200 for a status of zero. Evidence: TestDo status_of_zeros returned the output before. The status line is now checked before the header is parsed, as on the path of opaque routes, which also ends the call at once if the header does not follow.

--- a/engine/attempt.go
+++ b/engine/attempt.go
@@ -109,7 +109,7 @@
 	if err := a.write(request); err != nil {
 		return Response{}, a.connectionFailure(err)
 	}
-	if err := response.Header.Read(a.conn.Reader); err != nil {
+	if err := a.readHeader(response); err != nil {
 		return Response{}, a.connectionFailure(err)
 	}
 	if failure := a.checkHeader(response); failure != nil {
@@ -122,6 +122,15 @@
 	return a.readJSON(response)
 }
 
+// readHeader reads the header of a response. A status of zeros, which fasthttp takes for
+// success, is rejected before.
+func (a *attempt) readHeader(response *fasthttp.Response) error {
+	if err := a.conn.AwaitStatusLine(); err != nil {
+		return err
+	}
+	return response.Header.Read(a.conn.Reader)
+}
+
 func (a *attempt) write(request *fasthttp.Request) error {
 	if err := request.Write(a.conn.Writer); err != nil {
 		return err
--- a/engine/report.go
+++ b/engine/report.go
@@ -96,7 +96,7 @@
 	if err := a.write(request); err != nil {
 		return a.connectionFailure(err)
 	}
-	if err := response.Header.Read(a.conn.Reader); err != nil {
+	if err := a.readHeader(response); err != nil {
 		return a.connectionFailure(err)
 	}
 	body, err := a.readBody(response, query.limit)
