canary, site, platform: rollouts outlast a restore of the store

A version that had been rolled back got requests again after a restore of the store had lost the verdict, and the verdict was never recorded again; an order that was written under the revision of a lost one counted as that one, and one below it was ignored. Cause: an order was identified by its revision alone, which the store gives out again, and a verdict belonged to that number.

An order is identified by epoch and revision (site.Rollout.ID, the revision until the first restore), and a node applies the verdict on an order to the same order of a later epoch, so that its owner records it again. A rollout that is not decided starts again with its first share.

--- a/canary/event.go
+++ b/canary/event.go
@@ -73,7 +73,7 @@
 
 // Summary describes what an owner knows of an order, for status and logs.
 type Summary struct {
-	Order     int64         `json:"order"` // site.Rollout.Revision.
+	Order     int64         `json:"order"` // site.Rollout.ID.
 	Service   string        `json:"service"`
 	Version   string        `json:"version"`
 	Phase     Phase         `json:"phase"`
--- a/canary/gate.go
+++ b/canary/gate.go
@@ -57,8 +57,8 @@
 func (g *Gate) observe(now time.Time, r site.Rollout) {
 	o := g.orders[r.Service]
 	switch {
-	case o == nil || o.rollout.Revision < r.Revision:
-		next := &gateOrder{rollout: r, seen: now, regular: make(map[string]int), rows: make(map[rowKey]*Counts), final: g.verdicts[r.Revision]}
+	case o == nil || o.rollout.ID() < r.ID():
+		next := &gateOrder{rollout: r, seen: now, regular: make(map[string]int), rows: make(map[rowKey]*Counts), final: g.verdicts[r.ID()]}
 		next.returned = g.hasTraffic(o, r)
 		if o != nil {
 			g.withdraw(o)
@@ -67,9 +67,9 @@
 			g.orders = make(map[string]*gateOrder)
 		}
 		g.orders[r.Service] = next
-		delete(g.verdicts, r.Revision)
+		delete(g.verdicts, r.ID())
 		g.versionsOf(r.Service).admit(r.Version)
-	case o.rollout.Revision == r.Revision && !o.rollout.State.Final():
+	case o.rollout.ID() == r.ID() && !o.rollout.State.Final():
 		o.rollout.State, o.rollout.StateRevision = r.State, r.StateRevision
 	}
 }
@@ -102,7 +102,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, o := range g.orders {
-		if o.rollout.Revision == grant.Order {
+		if o.rollout.ID() == grant.Order {
 			o.apply(now, g.limited(grant))
 			return
 		}
--- a/canary/machine.go
+++ b/canary/machine.go
@@ -167,7 +167,7 @@
 }
 
 // opened reports whether there is an order that is neither final nor withdrawn.
-func (m *Machine) opened() bool { return m.order.Revision > 0 && m.phase < Complete }
+func (m *Machine) opened() bool { return m.order.ID() > 0 && m.phase < Complete }
 
 // withdraw ends an order that has been removed, so that there is none to which a status
 // could belong.
@@ -182,7 +182,7 @@
 
 // applyVerdict applies the verdict of another owner.
 func (m *Machine) applyVerdict(now time.Time, e VerdictReceived) []Action {
-	if !m.opened() || e.Order != m.order.Revision || e.Phase != RolledBack {
+	if !m.opened() || e.Order != m.order.ID() || e.Phase != RolledBack {
 		return nil
 	}
 	return m.rollBack(now, "verdict of another owner")
@@ -199,9 +199,9 @@
 func (m *Machine) accept(now time.Time, r site.Rollout) []Action {
 	var actions []Action
 	switch {
-	case r.Revision < m.order.Revision:
+	case r.ID() < m.order.ID():
 		return nil
-	case r.Revision == m.order.Revision:
+	case r.ID() == m.order.ID():
 		m.order.StateRevision = r.StateRevision
 	default:
 		if m.opened() {
@@ -267,7 +267,7 @@
 		share = 1
 	}
 	m.finding.Reason = reason
-	return append(m.move(now, to, share), Announce{Order: m.order.Revision, Phase: to})
+	return append(m.move(now, to, share), Announce{Order: m.order.ID(), Phase: to})
 }
 
 // move changes phase and share.
@@ -280,11 +280,11 @@
 		m.phase, m.phaseSince, m.proven = to, now, false
 	}
 	m.share, m.shareSince = share, now
-	return []Action{LogDecision{Order: m.order.Revision, Service: m.order.Service, Version: m.order.Version, From: from, To: to, Evidence: m.Evidence()}}
+	return []Action{LogDecision{Order: m.order.ID(), Service: m.order.Service, Version: m.order.Version, From: from, To: to, Evidence: m.Evidence()}}
 }
 
 func (m *Machine) receive(now time.Time, r Report) []Action {
-	if r.Order != m.order.Revision || m.order.Revision == 0 {
+	if r.Order != m.order.ID() || m.order.ID() == 0 {
 		return nil
 	}
 	n, rows, ok := m.reports.add(now, r)
@@ -343,7 +343,7 @@
 	}
 	actions := m.write(now)
 	if now.Sub(m.phaseSince) <= announceTime {
-		actions = append(actions, Announce{Order: m.order.Revision, Phase: m.phase})
+		actions = append(actions, Announce{Order: m.order.ID(), Phase: m.phase})
 	}
 	return actions
 }
@@ -614,7 +614,7 @@
 // Grant returns the reply to the report that the last Step handled, with the allowance of
 // its node. After any other event, the allowance is zero.
 func (m *Machine) Grant(now time.Time) Grant {
-	grant := Grant{Order: m.order.Revision, Phase: m.phase, Share: m.share, ValidFor: GrantLifetime, Excluded: m.excluded}
+	grant := Grant{Order: m.order.ID(), Phase: m.phase, Share: m.share, ValidFor: GrantLifetime, Excluded: m.excluded}
 	switch {
 	case now.Before(m.gatherUntil) && m.opened():
 		grant.Share = 0
@@ -632,7 +632,7 @@
 
 // Evidence summarises what the machine knows of the order.
 func (m *Machine) Evidence() Summary {
-	s := Summary{Order: m.order.Revision, Service: m.order.Service, Version: m.order.Version, Phase: m.phase, Share: m.share,
+	s := Summary{Order: m.order.ID(), Service: m.order.Service, Version: m.order.Version, Phase: m.phase, Share: m.share,
 		Nodes: len(m.reports.nodes), Verdict: m.finding.Verdict, Reason: m.finding.Reason, Excluded: m.excluded,
 		Age: m.lastStep.Sub(m.firstSeen), ReportAge: m.lastStep.Sub(m.reports.last)}
 	s.Sent, s.Canaries = m.reports.sent, m.reports.canaries
--- a/canary/message.go
+++ b/canary/message.go
@@ -47,7 +47,7 @@
 
 // Grant is the permission of an order's owner to send canary requests.
 type Grant struct {
-	Order    int64         `json:"order"` // site.Rollout.Revision.
+	Order    int64         `json:"order"` // site.Rollout.ID.
 	Phase    Phase         `json:"phase"`
 	Share    float64       `json:"share"`    // Largest share of a node's own requests that may be canary requests, from 0 to 1.
 	ValidFor time.Duration `json:"valid_ns"` // From its receipt, at most GrantLifetime.
@@ -111,7 +111,7 @@
 // Report is what one node has seen since an order. Its counts only increase while the
 // node runs.
 type Report struct {
-	Order    int64     `json:"order"` // site.Rollout.Revision.
+	Order    int64     `json:"order"` // site.Rollout.ID.
 	Service  string    `json:"service"`
 	VM       string    `json:"vm"`
 	Started  time.Time `json:"started"` // Start of the node, which has forgotten earlier counts.
--- a/canary/node.go
+++ b/canary/node.go
@@ -198,7 +198,7 @@
 			list = kept
 		}
 	}
-	revision := strconv.FormatInt(o.rollout.Revision, 10)
+	revision := strconv.FormatInt(o.rollout.ID(), 10)
 	rank := func(t site.Target) uint64 { return xxhash.Sum64String(revision + "/" + t.ID) }
 	slices.SortFunc(list, func(a, b site.Target) int { return cmp.Compare(rank(a), rank(b)) })
 	count := min(len(list), canaryTargetCount(len(d.fresh), share))
@@ -261,7 +261,7 @@
 }
 
 func (o *gateOrder) report(now time.Time) Report {
-	r := Report{Order: o.rollout.Revision, Service: o.rollout.Service, Sent: o.sent, Canaries: o.canaries, Returned: o.returned,
+	r := Report{Order: o.rollout.ID(), Service: o.rollout.Service, Sent: o.sent, Canaries: o.canaries, Returned: o.returned,
 		Age: now.Sub(o.seen), Phase: o.phase(), Share: o.grant.Share, Allowance: o.grant.Allowance}
 	for key, c := range o.rows {
 		r.Rows = append(r.Rows, Row{Route: key.route, Target: key.target, Counts: *c})
--- a/canary/owned.go
+++ b/canary/owned.go
@@ -32,7 +32,7 @@
 func (s *Service) updateOwned(now time.Time) {
 	orders, epoch := s.Orders(), s.View().Epoch
 	for name, r := range s.rollouts {
-		present := slices.ContainsFunc(orders, func(o site.Rollout) bool { return o.Service == name && o.Revision == r.order.Revision })
+		present := slices.ContainsFunc(orders, func(o site.Rollout) bool { return o.Service == name && o.ID() == r.order.ID() })
 		if present && r.epoch == epoch && s.owns(name) {
 			continue
 		}
@@ -57,14 +57,14 @@
 		}
 		r = &rollout{machine: Machine{Settings: s.Settings}, epoch: s.View().Epoch}
 		s.rollouts[o.Service] = r
-		s.Log.WithFields(logrus.Fields{"service": o.Service, "version": o.Version, "order": o.Revision, "view": s.View().Version}).Info("this node owns a rollout")
+		s.Log.WithFields(logrus.Fields{"service": o.Service, "version": o.Version, "order": o.ID(), "view": s.View().Version}).Info("this node owns a rollout")
 	}
 	if r.order != o {
-		taken := r.order.Revision == 0
+		taken := r.order.ID() == 0
 		r.order = o
 		s.step(now, r, OrderSeen{Order: o})
-		if phase, ok := s.verdicts.find(o.Revision); ok && taken {
-			s.step(now, r, VerdictReceived{Order: o.Revision, Phase: phase})
+		if phase, ok := s.verdicts.find(o.ID()); ok && taken {
+			s.step(now, r, VerdictReceived{Order: o.ID(), Phase: phase})
 		}
 	}
 	if targets := s.targetsOf(o); !slices.Equal(targets[0], r.targets[0]) || !slices.Equal(targets[1], r.targets[1]) {
@@ -146,7 +146,7 @@
 	recorded, err := s.States.Record(ctx, t.order, t.state)
 	now := s.Clock.Now()
 	entry := s.Log.WithFields(logrus.Fields{
-		"service": t.order.Service, "version": t.order.Version, "order": t.order.Revision, "state": t.state.String(), "ms": now.Sub(started).Milliseconds(),
+		"service": t.order.Service, "version": t.order.Version, "order": t.order.ID(), "state": t.state.String(), "ms": now.Sub(started).Milliseconds(),
 	})
 	defer s.sendAnnouncements()
 	s.mutex.Lock()
@@ -165,7 +165,7 @@
 	}
 	s.countWrite("recorded")
 	entry.WithField("recorded", recorded.String()).Info("state of a rollout is recorded")
-	if s.rollouts[t.order.Service] != t.rollout || t.rollout.order.Revision != t.order.Revision {
+	if s.rollouts[t.order.Service] != t.rollout || t.rollout.order.ID() != t.order.ID() {
 		return // This node no longer owns the order.
 	}
 	s.step(now, t.rollout, StatusWritten{State: recorded, Conflict: recorded != t.state})
--- a/canary/service.go
+++ b/canary/service.go
@@ -59,7 +59,8 @@
 	Metrics   *metrics.Set
 
 	verdicts  verdicts
-	observing sync.Mutex // Orders are passed to the gate in the order in which they were read.
+	observing sync.Mutex              // Orders are passed to the gate in the order in which they were read.
+	latest    map[string]site.Rollout // The latest order for each service, also if it is gone; guarded by observing.
 
 	mutex       sync.Mutex            // Guards the fields below.
 	rollouts    map[string]*rollout   // By service.
@@ -152,11 +153,35 @@
 	defer s.observing.Unlock()
 	operatorState, directory := s.AsOf()
 	if !operatorState.IsZero() {
-		s.Gate.Observe(now, s.Orders())
+		orders := s.Orders()
+		s.Gate.Observe(now, orders)
+		s.keepVerdicts(orders)
 	}
 	s.Gate.ObserveAge(operatorState, directory)
 }
 
+// keepVerdicts applies the verdicts on orders of an earlier epoch of the store to the same
+// orders of the current one: the store may have lost the states that were recorded.
+func (s *Service) keepVerdicts(orders []site.Rollout) {
+	for _, o := range orders {
+		before := s.latest[o.Service]
+		if s.latest == nil {
+			s.latest = make(map[string]site.Rollout)
+		}
+		s.latest[o.Service] = o
+		if !o.Continues(before) {
+			continue
+		}
+		phase, ok := s.verdicts.find(before.ID())
+		if recorded, final := finalPhaseOf(before.State); final {
+			phase, ok = recorded, true
+		}
+		if ok {
+			s.recordVerdict(o.ID(), phase, "earlier_epoch")
+		}
+	}
+}
+
 // learnVersions passes the targets of all services to the gate, so that versions of a
 // service without requests do not wait as unknown ones when the first request comes.
 func (s *Service) learnVersions(now time.Time) {
@@ -180,7 +205,7 @@
 func (s *Service) sendReports(now time.Time) {
 	open := s.openOrders()
 	for _, r := range s.Gate.Reports(now) {
-		if !slices.ContainsFunc(open, func(o site.Rollout) bool { return o.Revision == r.Order && o.Service == r.Service }) {
+		if !slices.ContainsFunc(open, func(o site.Rollout) bool { return o.ID() == r.Order && o.Service == r.Service }) {
 			continue
 		}
 		view := s.View()
@@ -276,7 +301,7 @@
 	defer s.mutex.Unlock()
 	s.updateOwned(now)
 	owned := s.rollouts[r.Service]
-	if owned == nil || owned.order.Revision != r.Order {
+	if owned == nil || owned.order.ID() != r.Order {
 		return Grant{}, fault.New(fault.Conflict, fault.NotRun, "%s does not own order %d for %s", s.Self, r.Order, r.Service)
 	}
 	s.step(now, owned, ReportReceived{Report: r})
@@ -286,11 +311,11 @@
 // finalGrant returns the grant for an order whose final state is recorded.
 func (s *Service) finalGrant(r Report) (Grant, bool) {
 	for _, o := range s.Orders() {
-		if o.Service != r.Service || o.Revision != r.Order {
+		if o.Service != r.Service || o.ID() != r.Order {
 			continue
 		}
 		if phase, ok := finalPhaseOf(o.State); ok {
-			return verdictGrant(o.Revision, phase), true
+			return verdictGrant(o.ID(), phase), true
 		}
 	}
 	return Grant{}, false
--- a/canary/status.go
+++ b/canary/status.go
@@ -49,19 +49,19 @@
 // status returns what this node knows of an order. The mutex is held.
 func (s *Service) status(now time.Time, o site.Rollout, reports []Report) Status {
 	status := Status{VM: s.Self, Order: o}
-	if r := s.reported[o.Service]; r.grant.Order == o.Revision {
+	if r := s.reported[o.Service]; r.grant.Order == o.ID() {
 		status.Phase, status.Share, status.Owner, status.GrantAge = r.grant.Phase, r.grant.Share, r.owner, now.Sub(r.at)
 	}
-	if phase, ok := s.verdicts.find(o.Revision); ok {
-		status.Phase, status.Share = phase, verdictGrant(o.Revision, phase).Share
+	if phase, ok := s.verdicts.find(o.ID()); ok {
+		status.Phase, status.Share = phase, verdictGrant(o.ID(), phase).Share
 	}
 	if phase, ok := finalPhaseOf(o.State); ok {
-		status.Phase, status.Share = phase, verdictGrant(o.Revision, phase).Share
+		status.Phase, status.Share = phase, verdictGrant(o.ID(), phase).Share
 	}
-	if at := slices.IndexFunc(reports, func(r Report) bool { return r.Order == o.Revision }); at >= 0 {
+	if at := slices.IndexFunc(reports, func(r Report) bool { return r.Order == o.ID() }); at >= 0 {
 		status.Sent, status.Canaries = reports[at].Sent, reports[at].Canaries
 	}
-	if r := s.rollouts[o.Service]; r != nil && r.order.Revision == o.Revision {
+	if r := s.rollouts[o.Service]; r != nil && r.order.ID() == o.ID() {
 		summary := r.machine.Evidence()
 		status.Evidence = &summary
 	}
--- a/canary/verdict.go
+++ b/canary/verdict.go
@@ -91,7 +91,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	for _, r := range s.rollouts {
-		if r.order.Revision == order {
+		if r.order.ID() == order {
 			s.step(now, r, VerdictReceived{Order: order, Phase: phase})
 		}
 	}
--- a/news/rollouts.go
+++ b/news/rollouts.go
@@ -40,7 +40,7 @@
 // older state.
 func latestState(order site.Rollout, known []site.Rollout) site.Rollout {
 	for _, k := range known {
-		if k.Service == order.Service && k.Revision == order.Revision && k.StateRevision > order.StateRevision {
+		if k.Service == order.Service && k.ID() == order.ID() && k.StateRevision > order.StateRevision {
 			order.State, order.StateRevision = k.State, k.StateRevision
 		}
 	}
