soak, store, cmds: restore the store from a copy in each run

The stand-in of the product's own store keeps copies and comes back with one that is about three seconds old at SIGUSR1; each run of the soak restores it once or more, drawn apart from the other faults of a seed.

--- a/cmds/standin.go
+++ b/cmds/standin.go
@@ -6,9 +6,12 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"os/signal"
 	"strings"
+	"syscall"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
+	"golang.org/x/sync/errgroup"
 
 	"bergamotworks/emul"
 	"bergamotworks/note"
@@ -33,6 +36,7 @@
 	return a.command(&ffcli.Command{
 		Name: "store", ShortUsage: "bergamotworks standin store [flags]", FlagSet: flags,
 		ShortHelp: "Run an in-memory key-value service in the JSON gateway format of etcd v3.",
+		LongHelp:  "SIGUSR1 restores the service from a copy that is about three seconds old.",
 		Exec: func(ctx context.Context, args []string) error {
 			if err := rejectArguments(args); err != nil {
 				return err
@@ -40,18 +44,30 @@
 			if _, err := netip.ParseAddrPort(listen); err != nil {
 				return usageErrorf("listen", "%q is not IP:port", listen)
 			}
-			memory := &store.Memory{Clock: ports.SystemClock{}}
-			server := &store.Server{Store: memory, Network: ports.SystemNetwork{}, Address: listen}
-			address, err := server.Listen()
-			if err != nil {
-				return err
-			}
-			fmt.Fprintf(a.stdout, "store stand-in on %s\n", address)
-			return server.Run(ctx)
+			return a.runStore(ctx, listen)
 		},
 	})
 }
 
+// runStore serves an empty store, and restores it from a copy at each SIGUSR1.
+func (a *app) runStore(ctx context.Context, listen string) error {
+	memory := &store.Memory{Clock: ports.SystemClock{}}
+	server := &store.Server{Store: memory, Network: ports.SystemNetwork{}, Address: listen}
+	address, err := server.Listen()
+	if err != nil {
+		return err
+	}
+	requests := make(chan os.Signal, 1)
+	signal.Notify(requests, syscall.SIGUSR1)
+	defer signal.Stop(requests)
+	fmt.Fprintf(a.stdout, "store stand-in on %s\n", address)
+	copies := store.Copies{Memory: memory, Clock: ports.SystemClock{}, Requests: requests}
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return copies.Run(ctx) })
+	group.Go(func() error { return server.Run(ctx) })
+	return group.Wait()
+}
+
 func (a *app) standinTargetsCommand() *ffcli.Command {
 	var deployment, file string
 	var port int
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -26,9 +26,10 @@
 	rejectAtTarget
 	abortAtTarget
 	drainDomain
-	faultKinds // Number of kinds that planFaults draws; planNotices draws the others.
+	faultKinds // Number of kinds that planFaults draws; planNotices and planRestores draw the others.
 	leaveTarget
 	askToWait
+	restoreStore
 )
 
 const (
@@ -48,7 +49,7 @@
 func (f fault) String() string {
 	names := [...]string{
 		"kill node", "pause node", "shut down node", "reload node", "pause store", "disrupt store link", "disrupt client link", "disrupt target link", "reject at target",
-		"abort at target", "drain domain", "", "leave", "ask to wait",
+		"abort at target", "drain domain", "", "leave", "ask to wait", "restore store",
 	}
 	return fmt.Sprintf("%s %d at %s for %s (link %d)", names[f.kind], f.index, f.at.Round(time.Millisecond), f.duration.Round(time.Millisecond), f.link)
 }
@@ -86,6 +87,24 @@
 	return faults
 }
 
+// restoresPerMinute is the mean number of restores of the store from a copy.
+const restoresPerMinute = 6
+
+// planRestores returns random restores of the store, at least one.
+func planRestores(random *rand.Rand, length time.Duration) []fault {
+	var faults []fault
+	for range max(1, int(math.Round(length.Minutes()*restoresPerMinute))) {
+		f := randomFault(random, length)
+		f.kind, f.duration = restoreStore, min(f.duration, maxStoreAway)
+		faults = append(faults, f)
+	}
+	return faults
+}
+
+// maxStoreAway is the longest time for which the store answers no calls before it comes back
+// from a copy.
+const maxStoreAway = 800 * time.Millisecond
+
 // injector injects faults concurrently.
 type injector struct {
 	env *env
@@ -117,6 +136,8 @@
 		j.recordError(n.signal(syscall.SIGHUP))
 	case pauseStore:
 		j.pause(e.store, f.duration)
+	case restoreStore:
+		j.restore(e.store, f.duration)
 	case disruptStoreLink:
 		j.disrupt(n.storeProxy, f)
 	case disruptClientLink:
@@ -210,6 +231,20 @@
 	j.recordError(p.signal(syscall.SIGCONT))
 }
 
+// restore pauses the store, which then comes back from a copy.
+func (j *injector) restore(p *process, duration time.Duration) {
+	if !j.acquire(p) {
+		return
+	}
+	defer j.release(p)
+	p.addFaults(1)
+	defer p.addFaults(-1)
+	j.recordError(p.signal(syscall.SIGSTOP))
+	time.Sleep(duration)
+	j.recordError(p.signal(syscall.SIGUSR1))
+	j.recordError(p.signal(syscall.SIGCONT))
+}
+
 func (j *injector) disrupt(p *proxy, f fault) {
 	if !j.acquire(p) {
 		return
--- a/soak/run.go
+++ b/soak/run.go
@@ -31,6 +31,8 @@
 	// noticeStream is the stream of random numbers for the notices of targets, apart
 	// from that for all else, so that the faults of a seed do not depend on them.
 	noticeStream = 1
+	// restoreStream is the same for the restores of the store.
+	restoreStream = 2
 )
 
 // Run is one run of the soak test. Exported fields must be set before [Run.Do].
@@ -73,6 +75,9 @@
 	}
 	faults := planFaults(random, r.Duration, r.FaultsPerSecond)
 	faults = append(faults, planNotices(rand.New(rand.NewPCG(r.Seed, noticeStream)), r.Duration, r.FaultsPerSecond)...)
+	if r.FaultsPerSecond > 0 {
+		faults = append(faults, planRestores(rand.New(rand.NewPCG(r.Seed, restoreStream)), r.Duration)...)
+	}
 	clients, o, crashing := r.runLoad(ctx, e, random, faults)
 	report := Report{Changes: len(o.changes)}
 	if err := r.awaitRecovery(e, clients[0], o); err != nil {
