conf, store, ports: a late commit does not replace the head of a restored store

Cause: the commit compares the revision of the store at which the head was read. After a restore that revision is given out again; the head that the nodes had written back had it, too, so that a commit that was sent before took effect on it.

The commit now compares the value of the head, too, which names revision and checksum of the configuration. TestScenarios/store_restored_late_commit failed before (the late commit replaced revision 4) and passes now.

--- a/conf/accept.go
+++ b/conf/accept.go
@@ -74,7 +74,7 @@
 // configuration is restored.
 func (s *Service) checkStoreRevision(ctx context.Context, n note.Note, h storedHead, i *image) error {
 	if i.revision() > h.head.Revision {
-		if err := s.restore(ctx, h.modRevision); err != nil {
+		if err := s.restore(ctx, h.modRevision, h.value); err != nil {
 			return err
 		}
 		return fault.New(fault.Unavailable, fault.NotRun, "the store is behind the configuration in force")
@@ -151,6 +151,7 @@
 		image:         next,
 		history:       appendHistory(h.history, entry),
 		modRevision:   h.modRevision,
+		replaced:      h.value,
 		replacedParts: h.head.Parts,
 	}
 	if err := w.writeParts(ctx); err != nil {
--- a/conf/event.go
+++ b/conf/event.go
@@ -16,6 +16,7 @@
 	storeRead struct {
 		revision    int64
 		modRevision int64
+		value       []byte // Of the head.
 		err         error
 	}
 	// fetched is the result of a fetchPeer.
@@ -55,8 +56,11 @@
 	// announce sends the active revision to peers.
 	announce struct{ vms []string }
 	// restore replaces an older head with the active configuration, provided
-	// that the head still has modRevision.
-	restore struct{ modRevision int64 }
+	// that the head still has modRevision and value.
+	restore struct {
+		modRevision int64
+		value       []byte
+	}
 )
 
 func (readStore) action()  {}
--- a/conf/head.go
+++ b/conf/head.go
@@ -39,7 +39,8 @@
 // storedHead is the head and the history as returned by one range read.
 type storedHead struct {
 	head        head
-	modRevision int64 // Of the head; zero if there is none.
+	modRevision int64  // Of the head; zero if there is none.
+	value       []byte // Of the head; nil if there is none.
 	history     []HistoryEntry
 }
 
@@ -88,7 +89,7 @@
 	for _, e := range response.Entries {
 		switch e.Key {
 		case headKey:
-			h.modRevision = e.ModRevision
+			h.modRevision, h.value = e.ModRevision, e.Value
 			err = json.Unmarshal(e.Value, &h.head)
 		case historyKey:
 			err = json.Unmarshal(e.Value, &h.history)
--- a/conf/state.go
+++ b/conf/state.go
@@ -114,7 +114,7 @@
 	}
 	s.lastModRevision = e.modRevision
 	if e.revision < s.activeRevision && s.watcher {
-		actions = append(actions, restore{modRevision: e.modRevision})
+		actions = append(actions, restore{modRevision: e.modRevision, value: e.value})
 	}
 	return actions
 }
--- a/conf/tasks.go
+++ b/conf/tasks.go
@@ -24,7 +24,7 @@
 		s.count("conf_store_read_errors_total")
 		s.Log.WithError(err).Debug("failed to read the configuration from the store")
 	}
-	s.post(storeRead{revision: h.head.Revision, modRevision: h.modRevision, err: err})
+	s.post(storeRead{revision: h.head.Revision, modRevision: h.modRevision, value: h.value, err: err})
 }
 
 // maxReadAttempts bounds the reads of a head whose parts are deleted before
@@ -146,19 +146,20 @@
 	service     *Service
 	ctx         context.Context
 	modRevision int64
+	value       []byte // Of the head; nil if there is none.
 }
 
 func (t restoreTask) run() {
 	ctx, cancel := context.WithTimeout(t.ctx, storeCallTimeout)
 	defer cancel()
-	if err := t.service.restore(ctx, t.modRevision); err != nil {
+	if err := t.service.restore(ctx, t.modRevision, t.value); err != nil {
 		t.service.Log.WithError(err).Warn("failed to restore the configuration in the store")
 	}
 }
 
 // restore writes the active configuration unless the head has changed since it
 // was found to be older.
-func (s *Service) restore(ctx context.Context, modRevision int64) error {
+func (s *Service) restore(ctx context.Context, modRevision int64, value []byte) error {
 	i := s.current.Load()
 	s.count("conf_store_behind_total")
 	s.mutex.Lock()
@@ -167,7 +168,7 @@
 	if lastRevision(history) < i.revision() {
 		history = appendHistory(history, HistoryEntry{Revision: i.revision(), NoteID: i.config.NoteID})
 	}
-	w := writer{store: s.Store, head: newHead(i), image: i, history: history, modRevision: modRevision}
+	w := writer{store: s.Store, head: newHead(i), image: i, history: history, modRevision: modRevision, replaced: value}
 	if err := w.writeParts(ctx); err != nil {
 		return err
 	}
--- a/ports/store.go
+++ b/ports/store.go
@@ -55,10 +55,13 @@
 }
 
 // Compare is the condition that the current ModRevision of a key equals the
-// given one. Zero means that the key does not exist.
+// given one, and its current value Value unless that is nil. A ModRevision of zero means
+// that the key does not exist. A store that was restored from a copy gives revisions out
+// again, which alone do not show that the key has its value of before.
 type Compare struct {
 	Key         string
 	ModRevision int64
+	Value       []byte
 }
 
 // Op is an operation of a transaction: [Put] or [Delete].
--- a/store/memory.go
+++ b/store/memory.go
@@ -68,7 +68,8 @@
 		return ports.TxnResponse{}, err
 	}
 	for _, c := range txn.Compares {
-		if m.entries[c.Key].ModRevision != c.ModRevision {
+		e := m.entries[c.Key]
+		if e.ModRevision != c.ModRevision || c.Value != nil && !bytes.Equal(e.Value, c.Value) {
 			return ports.TxnResponse{Revision: m.revision}, nil
 		}
 	}
--- a/store/wire.go
+++ b/store/wire.go
@@ -39,13 +39,21 @@
 	Kvs    []wireKeyValue `json:"kvs,omitempty"`
 }
 
+// wireCompare compares the revision or the value of a key, as Target says.
 type wireCompare struct {
 	Result      string `json:"result"`
 	Target      string `json:"target"`
 	Key         []byte `json:"key"`
 	ModRevision int64  `json:"mod_revision,string"`
+	Value       []byte `json:"value,omitempty"`
 }
 
+// The targets of comparisons.
+const (
+	compareRevision = "MOD"
+	compareValue    = "VALUE"
+)
+
 type wirePut struct {
 	Key   []byte `json:"key"`
 	Value []byte `json:"value"`
@@ -152,10 +160,13 @@
 	for _, c := range txn.Compares {
 		w.Compare = append(w.Compare, wireCompare{
 			Result:      "EQUAL",
-			Target:      "MOD",
+			Target:      compareRevision,
 			Key:         []byte(c.Key),
 			ModRevision: c.ModRevision,
 		})
+		if c.Value != nil {
+			w.Compare = append(w.Compare, wireCompare{Result: "EQUAL", Target: compareValue, Key: []byte(c.Key), Value: c.Value})
+		}
 	}
 	for _, o := range txn.Then {
 		switch o := o.(type) {
@@ -173,6 +184,10 @@
 func (w wireTxn) txn() ports.Txn {
 	var txn ports.Txn
 	for _, c := range w.Compare {
+		if last := len(txn.Compares) - 1; c.Target == compareValue && last >= 0 && txn.Compares[last].Key == string(c.Key) {
+			txn.Compares[last].Value = c.Value // It follows the comparison of the revision.
+			continue
+		}
 		txn.Compares = append(txn.Compares, ports.Compare{Key: string(c.Key), ModRevision: c.ModRevision})
 	}
 	for _, o := range w.Success {
