order: claims and load slots do not replace other ones in a restored store

Records and load slots are now compared by value, too. TestClaimsOfARestoredStore/other_record_under_the_revision failed before.

--- a/order/pace.go
+++ b/order/pace.go
@@ -44,7 +44,7 @@
 // lost, the time slot stays unused.
 func reserveLoadSlot(ctx context.Context, store ports.Store, now time.Time, loadsPerMinute int) (time.Time, error) {
 	for range maxReserveAttempts {
-		p, modRevision, err := readPace(ctx, store)
+		p, stored, err := readPace(ctx, store)
 		if err != nil {
 			return time.Time{}, err
 		}
@@ -58,7 +58,7 @@
 			return time.Time{}, fault.New(fault.Internal, fault.NotRun, "encode pace: %s", err)
 		}
 		response, err := store.Commit(ctx, ports.Txn{
-			Compares: []ports.Compare{{Key: paceKey, ModRevision: modRevision}},
+			Compares: []ports.Compare{stored},
 			Then:     []ports.Op{ports.Put{Key: paceKey, Value: value}},
 		})
 		if err != nil {
@@ -71,14 +71,18 @@
 	return time.Time{}, fault.New(fault.Conflict, fault.NotRun, "other nodes reserved the slots for loads first")
 }
 
-func readPace(ctx context.Context, store ports.Store) (pace, int64, error) {
+// readPace returns the pace and the condition that the store still holds it.
+func readPace(ctx context.Context, store ports.Store) (pace, ports.Compare, error) {
+	stored := ports.Compare{Key: paceKey}
 	response, err := store.Range(ctx, ports.RangeRequest{Key: paceKey})
 	if err != nil || len(response.Entries) == 0 {
-		return pace{}, 0, err
+		return pace{}, stored, err
 	}
 	var p pace
-	if err := json.Unmarshal(response.Entries[0].Value, &p); err != nil {
-		return pace{}, 0, fault.New(fault.Internal, fault.NotRun, "decode pace: %s", err)
+	entry := response.Entries[0]
+	if err := json.Unmarshal(entry.Value, &p); err != nil {
+		return pace{}, stored, fault.New(fault.Internal, fault.NotRun, "decode pace: %s", err)
 	}
-	return p, response.Entries[0].ModRevision, nil
+	stored.ModRevision, stored.Value = entry.ModRevision, entry.Value
+	return p, stored, nil
 }
--- a/order/record.go
+++ b/order/record.go
@@ -35,7 +35,7 @@
 	// clock.
 	ClaimedMS int64 `json:"claimed_ms"`
 
-	modRevision int64
+	stored ports.Compare // What the store held; the zero value if it held no record.
 }
 
 func (r Record) claimed() time.Time { return time.UnixMilli(r.ClaimedMS) }
@@ -65,7 +65,7 @@
 		return Record{}, fault.New(fault.Internal, fault.NotRun, "decode %s: %s", entry.Key, err)
 	}
 	r.Target = strings.TrimPrefix(entry.Key, recordPrefix)
-	r.modRevision = entry.ModRevision
+	r.stored = ports.Compare{Key: entry.Key, ModRevision: entry.ModRevision, Value: entry.Value}
 	return r, nil
 }
 
@@ -78,8 +78,9 @@
 		return false, fault.New(fault.Internal, fault.NotRun, "encode record: %s", err)
 	}
 	key := recordPrefix + r.Target
+	r.stored.Key = key
 	response, err := store.Commit(ctx, ports.Txn{
-		Compares: []ports.Compare{{Key: key, ModRevision: r.modRevision}},
+		Compares: []ports.Compare{r.stored},
 		Then:     []ports.Op{ports.Put{Key: key, Value: value}},
 	})
 	return response.Succeeded, err
