--- a/news/fleet_test.go
+++ b/news/fleet_test.go
@@ -385,11 +385,7 @@
 	if other.dead.Load() {
 		return fault.New(fault.Unavailable, fault.NotRun, "no connection to %s", vm)
 	}
-	data, err := handlePeerCall(ctx, other.service, method, params)
-	if err != nil {
-		return err
-	}
-	text, err := json.Marshal(data)
+	text, err := handlePeerCall(ctx, other.service, method, params)
 	if err != nil {
 		return err
 	}
@@ -399,15 +395,22 @@
 	return json.Unmarshal(text, result)
 }
 
-// handlePeerCall passes a call of another node to a service.
-func handlePeerCall(ctx context.Context, s *Service, method string, params any) (any, error) {
+// handlePeerCall passes a call of another node to a service, and returns the encoded result.
+func handlePeerCall(ctx context.Context, s *Service, method string, params any) ([]byte, error) {
+	var result any
+	var err error
 	switch method {
 	case MethodFetchConfig:
-		return s.HandleFetchConfig(ctx, params.(configRequest))
+		result, err = s.HandleFetchConfig(ctx, params.(configRequest))
 	case MethodFetchDirectory:
-		return s.HandleFetchDirectory(ctx, params.(directoryRequest))
+		result, err = s.HandleFetchDirectory(ctx, params.(directoryRequest))
+	default:
+		result, err = s.HandleFetch(ctx, params.(revisions))
+	}
+	if err != nil {
+		return nil, err
 	}
-	return s.HandleFetch(ctx, params.(revisions))
+	return json.Marshal(result)
 }
 
 // receive waits until a number of bytes has arrived on the node's link, behind all
--- a/news/restore_test.go
+++ b/news/restore_test.go
@@ -489,11 +489,7 @@
 	if other == nil {
 		return fault.New(fault.Unavailable, fault.NotRun, "no connection to %s", vm)
 	}
-	data, err := handlePeerCall(ctx, other, method, params)
-	if err != nil {
-		return err
-	}
-	text, err := json.Marshal(data)
+	text, err := handlePeerCall(ctx, other, method, params)
 	if err != nil {
 		return err
 	}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -131,13 +131,13 @@
 	case shutDownNode:
 		j.restart(n, syscall.SIGTERM, f.duration)
 	case pauseNode:
-		j.pause(&n.process, f.duration)
+		j.pause(&n.process, f.duration, syscall.SIGCONT)
 	case reloadNode:
 		j.recordError(n.signal(syscall.SIGHUP))
 	case pauseStore:
-		j.pause(e.store, f.duration)
+		j.pause(e.store, f.duration, syscall.SIGCONT)
 	case restoreStore:
-		j.restore(e.store, f.duration)
+		j.pause(e.store, f.duration, syscall.SIGUSR1, syscall.SIGCONT)
 	case disruptStoreLink:
 		j.disrupt(n.storeProxy, f)
 	case disruptClientLink:
@@ -219,7 +219,8 @@
 	awaitReady(n.admin)
 }
 
-func (j *injector) pause(p *process, duration time.Duration) {
+// pause pauses a process, and sends it the signals at the end.
+func (j *injector) pause(p *process, duration time.Duration, end ...syscall.Signal) {
 	if !j.acquire(p) {
 		return
 	}
@@ -228,21 +229,9 @@
 	defer p.addFaults(-1)
 	j.recordError(p.signal(syscall.SIGSTOP))
 	time.Sleep(duration)
-	j.recordError(p.signal(syscall.SIGCONT))
-}
-
-// restore pauses the store, which then comes back from a copy.
-func (j *injector) restore(p *process, duration time.Duration) {
-	if !j.acquire(p) {
-		return
+	for _, v := range end {
+		j.recordError(p.signal(v))
 	}
-	defer j.release(p)
-	p.addFaults(1)
-	defer p.addFaults(-1)
-	j.recordError(p.signal(syscall.SIGSTOP))
-	time.Sleep(duration)
-	j.recordError(p.signal(syscall.SIGUSR1))
-	j.recordError(p.signal(syscall.SIGCONT))
 }
 
 func (j *injector) disrupt(p *proxy, f fault) {
