--- a/news/epoch.go
+++ b/news/epoch.go
@@ -105,13 +105,27 @@
 	if s.epoch == before || !s.registered.Loaded() && s.drained == nil {
 		return
 	}
-	held := maps.Clone(s.inherited.departed)
-	if held == nil {
-		held = make(departures)
-	}
+	s.inherit(sn.AppliedAt)
+	s.extendGrace(sn)
+	c.Restored, c.EpochBefore, c.Held = true, before, len(s.inherited.departed)
+}
+
+// inherit keeps what this node knows of the epoch that has ended, with what is left of the
+// one before that.
+func (s *State) inherit(now time.Time) {
+	held := make(departures)
+	maps.Copy(held, s.inherited.departed)
 	maps.Copy(held, s.departed)
 	s.departed = nil
-	s.inherited = inheritance{departed: held, until: sn.AppliedAt.Add(departureHold), drained: slices.Sorted(maps.Keys(s.directory.DrainedDomains))}
+	s.inherited = inheritance{
+		departed: held, until: now.Add(departureHold),
+		drained: slices.Sorted(maps.Keys(s.directory.DrainedDomains)),
+	}
+}
+
+// extendGrace begins a grace period, as after an outage. It ends when that of the node ends
+// that sent the snapshot, if that is earlier.
+func (s *State) extendGrace(sn Snapshot) {
 	end := sn.AppliedAt.Add(reregisterGrace)
 	if !sn.GraceEnd.IsZero() && sn.GraceEnd.Before(end) {
 		end = sn.GraceEnd
@@ -119,7 +133,6 @@
 	if end.After(s.graceEnd) {
 		s.graceEnd = end
 	}
-	c.Restored, c.EpochBefore, c.Held = true, before, len(held)
 }
 
 // epoch returns the latest epoch of the parts of the snapshot.
--- a/news/restore_test.go
+++ b/news/restore_test.go
@@ -66,7 +66,7 @@
 	AgainMS int `json:"again_ms"`
 }
 
-// The kinds of trouble beside those of impairments.
+// The kinds of trouble beside frozen and cutFromStore.
 const (
 	cutOff    = "cut_off"   // Neither the store nor another node reaches it.
 	restarted = "restarted" // Its process does not run.
@@ -138,7 +138,7 @@
 	mutex   sync.Mutex
 	epoch   int64
 	holds   storeHolds
-	copies  map[int]storeHolds // By the time of the copy in milliseconds.
+	copies  map[int]storeHolds // By the index of the restore.
 	away    bool
 	changed chan struct{} // Closed and replaced at each change.
 	nodes   map[string]*restoreNode
