ports, conf, order: one condition that a key is unchanged

The revision and the value of the configuration's head travelled as a pair through five types of conf, beside the condition that order keeps. KeyValue.Unchanged returns the condition, and both keep it as such.

--- a/conf/accept.go
+++ b/conf/accept.go
@@ -74,7 +74,7 @@
 // configuration is restored.
 func (s *Service) checkStoreRevision(ctx context.Context, n note.Note, h storedHead, i *image) error {
 	if i.revision() > h.head.Revision {
-		if err := s.restore(ctx, h.modRevision, h.value); err != nil {
+		if err := s.restore(ctx, h.unchanged); err != nil {
 			return err
 		}
 		return fault.New(fault.Unavailable, fault.NotRun, "the store is behind the configuration in force")
@@ -150,8 +150,7 @@
 		head:          newHead(next),
 		image:         next,
 		history:       appendHistory(h.history, entry),
-		modRevision:   h.modRevision,
-		replaced:      h.value,
+		unchanged:     h.unchanged,
 		replacedParts: h.head.Parts,
 	}
 	if err := w.writeParts(ctx); err != nil {
@@ -200,7 +199,7 @@
 // commit compared with.
 func (s *Service) resolveCommit(ctx context.Context, w writer, n note.Note) (accepted, known bool, err error) {
 	h, readErr := readHead(ctx, s.Store)
-	if readErr != nil || h.modRevision <= w.modRevision {
+	if readErr != nil || h.unchanged.ModRevision <= w.unchanged.ModRevision {
 		return false, false, nil
 	}
 	if h.accepted(n.ID) {
--- a/conf/event.go
+++ b/conf/event.go
@@ -1,5 +1,7 @@
 package conf
 
+import "bergamotworks/ports"
+
 // event is an input of the state machine.
 type event interface{ event() }
 
@@ -14,10 +16,9 @@
 	}
 	// storeRead is the result of a readStore.
 	storeRead struct {
-		revision    int64
-		modRevision int64
-		value       []byte // Of the head.
-		err         error
+		revision  int64
+		unchanged ports.Compare // That the store still holds the head that was read.
+		err       error
 	}
 	// fetched is the result of a fetchPeer.
 	fetched struct {
@@ -56,11 +57,8 @@
 	// announce sends the active revision to peers.
 	announce struct{ vms []string }
 	// restore replaces an older head with the active configuration, provided
-	// that the head still has modRevision and value.
-	restore struct {
-		modRevision int64
-		value       []byte
-	}
+	// that it is unchanged.
+	restore struct{ unchanged ports.Compare }
 )
 
 func (readStore) action()  {}
--- a/conf/head.go
+++ b/conf/head.go
@@ -38,10 +38,9 @@
 
 // storedHead is the head and the history as returned by one range read.
 type storedHead struct {
-	head        head
-	modRevision int64  // Of the head; zero if there is none.
-	value       []byte // Of the head; nil if there is none.
-	history     []HistoryEntry
+	head      head
+	unchanged ports.Compare // That the store still holds this head, or still none.
+	history   []HistoryEntry
 }
 
 // accepted reports whether the history lists a note. A negative result is
@@ -85,11 +84,11 @@
 	if err != nil {
 		return storedHead{}, err
 	}
-	var h storedHead
+	h := storedHead{unchanged: ports.Compare{Key: headKey}}
 	for _, e := range response.Entries {
 		switch e.Key {
 		case headKey:
-			h.modRevision, h.value = e.ModRevision, e.Value
+			h.unchanged = e.Unchanged()
 			err = json.Unmarshal(e.Value, &h.head)
 		case historyKey:
 			err = json.Unmarshal(e.Value, &h.history)
--- a/conf/service.go
+++ b/conf/service.go
@@ -195,7 +195,7 @@
 			s.tasks.Go(announceTask{s, ctx, vm}.run)
 		}
 	case restore:
-		s.tasks.Go(restoreTask{s, ctx, a.modRevision, a.value}.run)
+		s.tasks.Go(restoreTask{s, ctx, a.unchanged}.run)
 	}
 }
 
--- a/conf/state.go
+++ b/conf/state.go
@@ -112,9 +112,9 @@
 		s.nextWatch = now
 		actions = append(actions, closeWatch{})
 	}
-	s.lastModRevision = e.modRevision
+	s.lastModRevision = e.unchanged.ModRevision
 	if e.revision < s.activeRevision && s.watcher {
-		actions = append(actions, restore{modRevision: e.modRevision, value: e.value})
+		actions = append(actions, restore{unchanged: e.unchanged})
 	}
 	return actions
 }
@@ -122,7 +122,7 @@
 // missedChange reports whether a read has found a change that the watch has not
 // reported. Such a watch is closed and opened again.
 func (s *state) missedChange(e storeRead) bool {
-	return s.watching && !s.changedBeforeRead && !s.changedSinceRead && s.lastModRevision != 0 && e.modRevision != s.lastModRevision
+	return s.watching && !s.changedBeforeRead && !s.changedSinceRead && s.lastModRevision != 0 && e.unchanged.ModRevision != s.lastModRevision
 }
 
 // fetchDone handles the result of a fetch and discards the announcement of a
--- a/conf/tasks.go
+++ b/conf/tasks.go
@@ -24,7 +24,7 @@
 		s.count("conf_store_read_errors_total")
 		s.Log.WithError(err).Debug("failed to read the configuration from the store")
 	}
-	s.post(storeRead{revision: h.head.Revision, modRevision: h.modRevision, value: h.value, err: err})
+	s.post(storeRead{revision: h.head.Revision, unchanged: h.unchanged, err: err})
 }
 
 // maxReadAttempts bounds the reads of a head whose parts are deleted before
@@ -143,23 +143,22 @@
 // restoreTask replaces an older head with the active configuration. The head is
 // older if the store lost its data or was restored from a backup.
 type restoreTask struct {
-	service     *Service
-	ctx         context.Context
-	modRevision int64
-	value       []byte // Of the head; nil if there is none.
+	service   *Service
+	ctx       context.Context
+	unchanged ports.Compare // That the store still holds the older head.
 }
 
 func (t restoreTask) run() {
 	ctx, cancel := context.WithTimeout(t.ctx, storeCallTimeout)
 	defer cancel()
-	if err := t.service.restore(ctx, t.modRevision, t.value); err != nil {
+	if err := t.service.restore(ctx, t.unchanged); err != nil {
 		t.service.Log.WithError(err).Warn("failed to restore the configuration in the store")
 	}
 }
 
 // restore writes the active configuration unless the head has changed since it
 // was found to be older.
-func (s *Service) restore(ctx context.Context, modRevision int64, value []byte) error {
+func (s *Service) restore(ctx context.Context, unchanged ports.Compare) error {
 	i := s.current.Load()
 	s.count("conf_store_behind_total")
 	s.mutex.Lock()
@@ -168,7 +167,7 @@
 	if lastRevision(history) < i.revision() {
 		history = appendHistory(history, HistoryEntry{Revision: i.revision(), NoteID: i.config.NoteID})
 	}
-	w := writer{store: s.Store, head: newHead(i), image: i, history: history, modRevision: modRevision, replaced: value}
+	w := writer{store: s.Store, head: newHead(i), image: i, history: history, unchanged: unchanged}
 	if err := w.writeParts(ctx); err != nil {
 		return err
 	}
--- a/conf/write.go
+++ b/conf/write.go
@@ -21,8 +21,7 @@
 	head          head
 	image         *image
 	history       []HistoryEntry
-	modRevision   int64             // Of the head to replace; zero if there is none.
-	replaced      []byte            // Value of the head to replace; nil if there is none.
+	unchanged     ports.Compare     // That the store still holds the head to replace.
 	replacedParts map[string]string // Content hashes in the head to replace.
 }
 
@@ -75,7 +74,7 @@
 // txn returns the transaction that compares and replaces the head. It also
 // deletes the parts that only the replaced head refers to, as many as fit.
 func (w writer) txn() ports.Txn {
-	txn := ports.Txn{Compares: []ports.Compare{{Key: headKey, ModRevision: w.modRevision, Value: w.replaced}}}
+	txn := ports.Txn{Compares: []ports.Compare{w.unchanged}}
 	if puts := w.changedParts(); fitsInTxn(puts) {
 		for _, p := range puts {
 			txn.Then = append(txn.Then, p)
--- a/order/pace.go
+++ b/order/pace.go
@@ -83,6 +83,5 @@
 	if err := json.Unmarshal(entry.Value, &p); err != nil {
 		return pace{}, stored, fault.New(fault.Internal, fault.NotRun, "decode pace: %s", err)
 	}
-	stored.ModRevision, stored.Value = entry.ModRevision, entry.Value
-	return p, stored, nil
+	return p, entry.Unchanged(), nil
 }
--- a/order/record.go
+++ b/order/record.go
@@ -35,7 +35,7 @@
 	// clock.
 	ClaimedMS int64 `json:"claimed_ms"`
 
-	stored ports.Compare // What the store held; the zero value if it held no record.
+	unchanged ports.Compare // That the store still holds this record, or still none.
 }
 
 func (r Record) claimed() time.Time { return time.UnixMilli(r.ClaimedMS) }
@@ -54,7 +54,7 @@
 		return Record{}, err
 	}
 	if len(response.Entries) == 0 {
-		return Record{Target: target}, nil
+		return Record{Target: target, unchanged: ports.Compare{Key: recordPrefix + target}}, nil
 	}
 	return decodeRecord(response.Entries[0])
 }
@@ -65,7 +65,7 @@
 		return Record{}, fault.New(fault.Internal, fault.NotRun, "decode %s: %s", entry.Key, err)
 	}
 	r.Target = strings.TrimPrefix(entry.Key, recordPrefix)
-	r.stored = ports.Compare{Key: entry.Key, ModRevision: entry.ModRevision, Value: entry.Value}
+	r.unchanged = entry.Unchanged()
 	return r, nil
 }
 
@@ -77,11 +77,9 @@
 	if err != nil {
 		return false, fault.New(fault.Internal, fault.NotRun, "encode record: %s", err)
 	}
-	key := recordPrefix + r.Target
-	r.stored.Key = key
 	response, err := store.Commit(ctx, ports.Txn{
-		Compares: []ports.Compare{r.stored},
-		Then:     []ports.Op{ports.Put{Key: key, Value: value}},
+		Compares: []ports.Compare{r.unchanged},
+		Then:     []ports.Op{ports.Put{Key: r.unchanged.Key, Value: value}},
 	})
 	return response.Succeeded, err
 }
--- a/ports/store.go
+++ b/ports/store.go
@@ -41,6 +41,11 @@
 	Lease          LeaseID
 }
 
+// Unchanged returns the condition that the key still has this revision and value.
+func (e KeyValue) Unchanged() Compare {
+	return Compare{Key: e.Key, ModRevision: e.ModRevision, Value: e.Value}
+}
+
 // RangeRequest selects one key, or all keys with a prefix.
 type RangeRequest struct {
 	Key    string
