wire: check the status line of a response once

The line that had been checked as it arrived was copied and checked again for its status, for each response. Both readers of a start that may be incomplete use one peek.

--- a/wire/header.go
+++ b/wire/header.go
@@ -66,13 +66,10 @@
 func readHeader(r *bufio.Reader, checkStart func(start []byte) error) (string, Headers, error) {
 	size := 1
 	for {
-		if _, err := r.Peek(size); err != nil {
-			if errors.Is(err, bufio.ErrBufferFull) {
-				return "", nil, headerTooLarge()
-			}
+		buffered, err := peek(r, size)
+		if err != nil {
 			return "", nil, err
 		}
-		buffered, _ := r.Peek(r.Buffered()) // Never fails for what is buffered.
 		if checkStart != nil {
 			if err := checkStart(buffered); err != nil {
 				return "", nil, err
@@ -87,6 +84,18 @@
 	}
 }
 
+// peek waits until size bytes have arrived and returns all that have, without reading them.
+func peek(r *bufio.Reader, size int) ([]byte, error) {
+	_, err := r.Peek(size)
+	switch {
+	case errors.Is(err, bufio.ErrBufferFull):
+		return nil, headerTooLarge()
+	case err != nil:
+		return nil, err
+	}
+	return r.Peek(r.Buffered()) // Never fails for what is buffered.
+}
+
 // messageError is the error of a message that can't be read. What it means for the request
 // depends on whether that is the message: see [rejected].
 type messageError struct {
--- a/wire/status.go
+++ b/wire/status.go
@@ -37,14 +37,8 @@
 
 func isDigit(c byte) bool { return c >= '0' && c <= '9' }
 
-// parseStatus returns the status of a whole status line.
+// parseStatus returns the status of a whole status line that checkStatusLine accepts.
 func parseStatus(line string) (int, error) {
-	if err := checkStatusLine([]byte(line)); err != nil {
-		return 0, err
-	}
-	if len(line) < len(statusLine) {
-		return 0, malformed("the status line")
-	}
 	return strconv.Atoi(line[statusAt:len(statusLine)])
 }
 
@@ -52,10 +46,10 @@
 // none that can be read. It leaves the response to be read.
 func (c *Conn) AwaitStatusLine() error {
 	for size := 1; size <= len(statusLine); size = c.Reader.Buffered() + 1 {
-		if _, err := c.Reader.Peek(size); err != nil {
+		buffered, err := peek(c.Reader, size)
+		if err != nil {
 			return err
 		}
-		buffered, _ := c.Reader.Peek(c.Reader.Buffered()) // Never fails for what is buffered.
 		if err := checkStatusLine(buffered); err != nil {
 			return err
 		}
