--- a/news/epoch.go
+++ b/news/epoch.go
@@ -20,9 +20,9 @@
 
 // departure is a target that accepts no new work.
 type departure struct {
-	target   site.Target // As last listed.
-	draining bool        // It is still listed; otherwise its entry was removed.
-	at       time.Time
+	incarnation int64
+	draining    bool // It is still listed; otherwise its entry was removed.
+	at          time.Time
 }
 
 // departures are the targets that have left in the current epoch of the store, by
@@ -36,12 +36,12 @@
 	}
 	for _, t := range before.Targets {
 		if _, ok := after.Find(t.ID); !ok {
-			(*d)[t.ID] = departure{target: t, at: now}
+			(*d)[t.ID] = departure{incarnation: t.Incarnation, at: now}
 		}
 	}
 	for _, t := range after.Targets {
 		if t.Draining {
-			(*d)[t.ID] = departure{target: t, draining: true, at: now}
+			(*d)[t.ID] = departure{incarnation: t.Incarnation, draining: true, at: now}
 		} else {
 			delete(*d, t.ID)
 		}
@@ -85,7 +85,7 @@
 	var targets []site.Target
 	for _, t := range d.Targets {
 		o, held := i.departed[t.ID]
-		held = held && o.target.Incarnation == t.Incarnation
+		held = held && o.incarnation == t.Incarnation
 		if held && !o.draining {
 			continue
 		}
--- a/news/operators.go
+++ b/news/operators.go
@@ -128,7 +128,5 @@
 	if asOf.After(s.operatorsAsOf) {
 		s.operatorsAsOf = asOf
 	}
-	if position.After(s.operatorPosition) {
-		s.operatorPosition = position
-	}
+	s.operatorPosition = s.operatorPosition.Latest(position)
 }
--- a/news/state.go
+++ b/news/state.go
@@ -159,10 +159,7 @@
 // includes reports whether the registered directory is at least as new as that of
 // a snapshot that was just merged.
 func (s *State) includes(sn Snapshot) bool {
-	latest := sn.Directory.Position
-	if sn.Unchanged.After(latest) {
-		latest = sn.Unchanged.Position
-	}
+	latest := sn.Directory.Latest(sn.Unchanged.Position)
 	return latest.Revision != 0 && s.registered.Loaded() && !latest.After(s.registered.Position)
 }
 
--- a/site/directory.go
+++ b/site/directory.go
@@ -111,9 +111,7 @@
 		return d
 	}
 	d.DrainedDomains = drained
-	if p.After(d.Position) {
-		d.Position = p
-	}
+	d.Position = d.Latest(p)
 	return NewDirectory(d)
 }
 
--- a/site/position.go
+++ b/site/position.go
@@ -18,3 +18,11 @@
 	}
 	return p.Revision > q.Revision
 }
+
+// Latest returns the later one of p and q.
+func (p Position) Latest(q Position) Position {
+	if q.After(p) {
+		return q
+	}
+	return p
+}
