--- a/news/outage_test.go
+++ b/news/outage_test.go
@@ -136,10 +136,14 @@
 
 // inTouch reports whether a node had no trouble in the contactTime before ms.
 func (r outageRun) inTouch(name string, ms int) bool {
+	return undisturbed(r.Troubles, ms, func(o trouble) bool { return !o.Store && slices.Contains(r.hit(o), name) })
+}
+
+// undisturbed reports whether none of the troubles that hit a node was there in the
+// contactTime before ms.
+func undisturbed(troubles []trouble, ms int, hits func(trouble) bool) bool {
 	from := ms - int(contactTime.Milliseconds())
-	return !slices.ContainsFunc(r.Troubles, func(o trouble) bool {
-		return !o.Store && o.FromMS <= ms && o.UntilMS > from && slices.Contains(r.hit(o), name)
-	})
+	return !slices.ContainsFunc(troubles, func(o trouble) bool { return o.FromMS <= ms && o.UntilMS > from && hits(o) })
 }
 
 // checkLeft checks that nodes in touch do not use targets that have left.
--- a/news/restore_test.go
+++ b/news/restore_test.go
@@ -351,10 +351,7 @@
 
 // inTouch reports whether a node had no trouble in the contactTime before ms.
 func (f *restoreFleet) inTouch(id string, ms int) bool {
-	from := ms - int(contactTime.Milliseconds())
-	return !slices.ContainsFunc(f.Troubles, func(o trouble) bool {
-		return o.FromMS <= ms && o.UntilMS > from && slices.Contains(f.order[o.First:o.First+o.Count], id)
-	})
+	return undisturbed(f.Troubles, ms, func(o trouble) bool { return slices.Contains(f.order[o.First:o.First+o.Count], id) })
 }
 
 // check checks the nodes in touch.
--- a/wire/early_test.go
+++ b/wire/early_test.go
@@ -87,28 +87,48 @@
 
 // earlyTarget responds to each request after reading its header.
 type earlyTarget struct {
-	spec     earlyCase
+	oneConnection
+	spec earlyCase
+	read chan int64 // Number of bytes read of each body.
+}
+
+func newEarlyTarget(t *testing.T, c earlyCase) *earlyTarget {
+	t.Helper()
+	e := &earlyTarget{oneConnection: newOneConnection(t), spec: c, read: make(chan int64, 2)}
+	go e.run()
+	return e
+}
+
+// oneConnection is the listener of a target that serves one connection.
+type oneConnection struct {
 	listener net.Listener
 	release  chan struct{} // Closed at the end of the test.
-	done     chan struct{}
-	read     chan int64 // Number of bytes read of each body.
+	done     chan struct{} // Closed by the target at its end.
 }
 
-func newEarlyTarget(t *testing.T, c earlyCase) *earlyTarget {
+func newOneConnection(t *testing.T) oneConnection {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	e := &earlyTarget{spec: c, listener: listener, release: make(chan struct{}), done: make(chan struct{}), read: make(chan int64, 2)}
-	go e.run()
-	return e
+	return oneConnection{listener: listener, release: make(chan struct{}), done: make(chan struct{})}
 }
 
-func (e *earlyTarget) close() {
-	close(e.release)
-	_ = e.listener.Close() // Accept returns in either case.
-	<-e.done
+func (o oneConnection) close() {
+	close(o.release)
+	_ = o.listener.Close() // Accept returns in either case.
+	<-o.done
+}
+
+// skipHeader reads the header of a request, and reports whether it has.
+func skipHeader(r *bufio.Reader) bool {
+	for {
+		line, err := r.ReadString('\n')
+		if err != nil || line == "\r\n" {
+			return err == nil
+		}
+	}
 }
 
 // run serves one connection.
@@ -126,14 +146,8 @@
 
 // respond handles one request and reports whether another may follow.
 func (e *earlyTarget) respond(conn net.Conn, r *bufio.Reader) bool {
-	for {
-		line, err := r.ReadString('\n')
-		if err != nil {
-			return false
-		}
-		if line == "\r\n" {
-			break
-		}
+	if !skipHeader(r) {
+		return false
 	}
 	if e.spec.Status > 0 {
 		if _, err := fmt.Fprintf(conn, "HTTP/1.1 %d Early\r\nContent-Length: 2\r\n\r\nok", e.spec.Status); err != nil {
--- a/wire/unreadable_test.go
+++ b/wire/unreadable_test.go
@@ -79,29 +79,17 @@
 
 // unreadableTarget serves one connection.
 type unreadableTarget struct {
-	spec     unreadableCase
-	listener net.Listener
-	release  chan struct{} // Closed at the end of the call.
-	done     chan struct{}
+	oneConnection
+	spec unreadableCase
 }
 
 func newUnreadableTarget(t *testing.T, c unreadableCase) *unreadableTarget {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	u := &unreadableTarget{spec: c, listener: listener, release: make(chan struct{}), done: make(chan struct{})}
+	u := &unreadableTarget{oneConnection: newOneConnection(t), spec: c}
 	go u.run()
 	return u
 }
 
-func (u *unreadableTarget) close() {
-	close(u.release)
-	_ = u.listener.Close() // Accept returns in either case.
-	<-u.done
-}
-
 func (u *unreadableTarget) run() {
 	defer close(u.done)
 	conn, err := u.listener.Accept()
@@ -110,10 +98,8 @@
 	}
 	defer func() { _ = conn.Close() }() // The client has its outcome.
 	r := bufio.NewReader(conn)
-	for line := ""; line != "\r\n"; {
-		if line, err = r.ReadString('\n'); err != nil {
-			return
-		}
+	if !skipHeader(r) {
+		return
 	}
 	if _, err := io.WriteString(conn, u.spec.Write); err != nil {
 		return
