--- a/review/stand2/client.go
+++ b/review/stand2/client.go
@@ -62,8 +62,11 @@
 }
 
 // send sends a request and reads the answer.
-func (c *channel) send(v call) answer {
-	a := answer{id: newID()}
+func (c *channel) send(v call) answer { return c.sendAs(newID(), v) }
+
+// sendAs is send for a request with a given identifier.
+func (c *channel) sendAs(id string, v call) answer {
+	a := answer{id: id}
 	_ = c.conn.SetDeadline(time.Now().Add(v.deadline + time.Second)) // A failure also fails the write.
 	if _, err := io.WriteString(c.conn, v.text(a.id)); err != nil {
 		return a
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -58,6 +58,8 @@
 		status, err = runCold(c.world)
 	case "config":
 		status, err = runConfig(c.world)
+	case "poison":
+		status, err = runPoison(c.world)
 	case "drain":
 		status, err = runDrain(c.world)
 	}
--- a/review/stand2/node.go
+++ b/review/stand2/node.go
@@ -27,6 +27,7 @@
 	settings, log    string
 	command          *exec.Cmd
 	exited           chan struct{}
+	startedAt        time.Time
 }
 
 func (n *node) front() string { return net.JoinHostPort(n.ip, frontPort) }
@@ -43,7 +44,7 @@
 	if err := n.command.Start(); err != nil {
 		return err
 	}
-	n.exited = make(chan struct{})
+	n.exited, n.startedAt = make(chan struct{}), time.Now()
 	go n.run(out)
 	return nil
 }
--- a/review/stand2/worker.go
+++ b/review/stand2/worker.go
@@ -36,6 +36,8 @@
 	events   int           // Of a stream; zero means a response with a length.
 	pieces   *segments     // Of a worker of stages.
 	inputs   bool          // Requests need the results of stages.
+	// onBody is called with the identifier and the body of each request; may be nil.
+	onBody func(v *worker, id, body string)
 
 	world    *world
 	address  string
@@ -210,9 +212,13 @@
 		w.WriteHeader(status)
 		return
 	}
-	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
 		return
 	}
+	if v.onBody != nil {
+		v.onBody(v, id, string(body))
+	}
 	w.Header().Set("X-Response-Seal", v.id+"."+id)
 	if v.events > 0 {
 		first, _ := strconv.Atoi(from) // Zero if the run begins.
@@ -220,9 +226,9 @@
 		return
 	}
 	time.Sleep(v.scaled(v.workTime))
-	body := "answer to " + id + "\n"
-	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	_, _ = io.WriteString(w, body) //nolint:gosec // No browser reads it.
+	text := "answer to " + id + "\n"
+	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+	_, _ = io.WriteString(w, text) //nolint:gosec // No browser reads it.
 }
 
 // inputStatus returns the status for a request by the results of stages that it names.
