--- a/review/stand2/drain.go
+++ b/review/stand2/drain.go
@@ -24,7 +24,7 @@
 	streamInterval  = 50 * time.Millisecond
 	streamDeadline  = 8 * time.Second
 	streamWorkTime  = 3 * time.Second
-	liveModels      = 3
+	liveModels      = 4
 )
 
 // load sends streams until it is stopped.
--- a/review/stand2/world.go
+++ b/review/stand2/world.go
@@ -28,7 +28,7 @@
 	binary  string
 	trouble bool
 	dir     string // For the settings and the logs of the nodes.
-	network string // First two numbers of the loopback addresses.
+	network string // First three numbers of the loopback addresses, with the final dot.
 	record  *record
 	store   *store
 	nodes   []*node
